--- /dev/null
+++ b/src/main/java/thornferry/WireCodec.java
@@ -0,0 +1,347 @@
+package thornferry;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import thornferry.Placement.*;
+
+/** Translates between the simulator's wire and the module's interface. */
+final class WireCodec {
+    static final ObjectMapper JSON = new ObjectMapper();
+    static final Set<String> EVENTS = Set.of("configure", "manifest", "registry", "pending", "pingResult", "destroy",
+        "whisper", "standing", "heartbeat", "reportBack", "placed", "clientLeft", "fired");
+
+    private static final Map<String, Outcome> OUTCOMES = Map.of("OK", Outcome.ENDED, "INTERNAL", Outcome.ERROR,
+        "RESOURCE_EXHAUSTED", Outcome.REFUSED, "DEADLINE_EXCEEDED", Outcome.TIMED_OUT,
+        "UNAVAILABLE", Outcome.UNREACHABLE, "ABORTED", Outcome.LOST, "CANCELLED", Outcome.CANCELLED,
+        "TOO_LATE", Outcome.NOT_SENT);
+    private static final Map<String, Effect> EFFECTS = Map.of("read_like", Effect.SAFE,
+        "idempotency_key", Effect.KEYED, "non_idempotent", Effect.UNSAFE);
+    private static final Map<String, Scope> SCOPES = Map.of("off", Scope.NONE, "machine", Scope.MACHINE,
+        "cell", Scope.CELL, "zone", Scope.ZONE, "all", Scope.ALL);
+    private static final Map<String, Reports> REPORTS = Map.of("off", Reports.NONE, "inline", Reports.WITH_ANSWERS,
+        "on_probe", Reports.ON_PROBE);
+    private static final long AGAIN_BIT = 16;
+
+    private WireCodec() { }
+
+    /** A line that cannot be what the wire's page describes; the message says what was wrong. */
+    static final class WireException extends Exception {
+        WireException(String message) {
+            super(message);
+        }
+    }
+
+    // ---- events ----
+
+    static Event event(String name, JsonNode row, Map<Long, List<MachineEntry>> tables) throws WireException {
+        switch (name) {
+            case "registry":
+                return machineList(row, tables);
+            case "pending":
+                return new Asked(ask(name, row));
+            case "standing":
+                return new Running(ask(name, row), text(row, 12, "standing machine"));
+            case "placed":
+                return new Placed(text(row, 2, "placed xid"), (int) integer(row, 3, "placed try"),
+                    text(row, 4, "placed machine"), integerOr(row, 5, 0, "placed waitTime"));
+            case "reportBack":
+                return new Ended(text(row, 2, "reportBack xid"), (int) integer(row, 3, "reportBack try"),
+                    text(row, 4, "reportBack machine"), chosen(OUTCOMES, row, 5, "reportBack code"),
+                    integerOr(row, 6, 0, "reportBack waitTime"), flag(row, 7, "reportBack settled"),
+                    reason(integerOr(row, 8, 0, "reportBack note")), report(row, 9, "reportBack metrics"));
+            case "heartbeat":
+                return note(row);
+            case "pingResult":
+                return new Probed(text(row, 4, "pingResult machine"),
+                    text(row, 3, "pingResult code").equals("OK"), integerOr(row, 2, 0, "pingResult waitTime"),
+                    report(row, 5, "pingResult metrics"));
+            case "clientLeft":
+                return new OwnerLeft(text(row, 2, "clientLeft xid"));
+            case "fired":
+                return new Timer(integer(row, 2, "fired ref"));
+            default:
+                return null; // a whisper: placers that share nothing have no use for it
+        }
+    }
+
+    private static Event machineList(JsonNode row, Map<Long, List<MachineEntry>> tables) throws WireException {
+        long how = integer(row, 4, "registry how");
+        long version = integerOr(row, 2, 0, "registry generation");
+        if (how == 2) {
+            return new MachineList(version, ListKind.FAILED, List.of());
+        }
+        if (how != 0 && how != 1 && how != 4) {
+            throw new WireException("registry how: unknown kind " + how);
+        }
+        long table = integer(row, 3, "registry table");
+        List<MachineEntry> entries = tables.get(table);
+        if (entries == null) {
+            throw new WireException("registry: unknown list number " + table);
+        }
+        return new MachineList(version, how == 0 ? ListKind.CACHED : how == 1 ? ListKind.FULL : ListKind.DELTA, entries);
+    }
+
+    static List<MachineEntry> entries(JsonNode row) throws WireException {
+        JsonNode items = at(row, 2);
+        if (!items.isArray()) {
+            throw new WireException("manifest items: not an array");
+        }
+        List<MachineEntry> entries = new ArrayList<>(items.size());
+        for (JsonNode item : items) {
+            if (!item.isArray()) {
+                throw new WireException("manifest items: an entry is not an array");
+            }
+            long state = integer(item, 5, "manifest stageState");
+            if (state < 0 || state > 2) {
+                throw new WireException("manifest stageState: unknown state " + state);
+            }
+            entries.add(new MachineEntry(text(item, 0, "manifest machine"), textOr(item, 1, "", "manifest locality"),
+                textOr(item, 2, "", "manifest classOfHost"), (int) integerOr(item, 4, 0, "manifest stripe"),
+                MachineState.values()[(int) state], numberOr(item, 3, 0, "manifest coresFree"),
+                numberOr(item, 7, 0, "manifest freeMemory"), numberOr(item, 6, 1, "manifest heft"),
+                integerOr(item, 8, 0, "manifest startTime")));
+        }
+        return entries;
+    }
+
+    private static Ask ask(String name, JsonNode row) throws WireException {
+        JsonNode tenant = at(row, 4);
+        return new Ask(text(row, 2, name + " xid"), text(row, 3, name + " kind"),
+            tenant.isTextual() ? tenant.textValue() : null, textOr(row, 5, "", name + " instanceKey"),
+            integer(row, 6, name + " grace"), integerOr(row, 7, 0, name + " lasts"),
+            textOr(row, 8, "", name + " service"), numberOr(row, 9, 0, name + " cpus"),
+            numberOr(row, 10, 0, name + " memory"), (integerOr(row, 11, 0, name + " opts") & AGAIN_BIT) != 0);
+    }
+
+    private static Event note(JsonNode row) throws WireException {
+        long sort = integer(row, 5, "heartbeat sort");
+        if (sort < 1 || sort > NoteKind.values().length) {
+            return null; // a kind of note that came after this version
+        }
+        return new Noted(text(row, 2, "heartbeat xid"), (int) integer(row, 3, "heartbeat try"),
+            text(row, 4, "heartbeat machine"), NoteKind.values()[(int) sort - 1], numberOr(row, 6, 0, "heartbeat level"));
+    }
+
+    private static Reason reason(long code) {
+        return code >= 0 && code < Reason.values().length ? Reason.values()[(int) code] : Reason.NONE;
+    }
+
+    private static double[] report(JsonNode row, int index, String what) throws WireException {
+        JsonNode values = at(row, index);
+        if (values.isNull() || values.isMissingNode()) {
+            return null;
+        }
+        if (!values.isArray()) {
+            throw new WireException(what + ": not an array");
+        }
+        double[] report = new double[values.size()];
+        for (int i = 0; i < report.length; i++) {
+            report[i] = values.get(i).isNumber() ? values.get(i).doubleValue() : Double.NaN;
+        }
+        return report;
+    }
+
+    // ---- settings ----
+
+    static Settings settings(JsonNode row) throws WireException {
+        JsonNode c = at(row, 3);
+        if (!c.isObject()) {
+            throw new WireException("configure config: not an object");
+        }
+        JsonNode info = c.path("familyInfo");
+        JsonNode load = c.path("loadInfo");
+        JsonNode limits = c.path("allowed");
+        List<String> reportNames = new ArrayList<>();
+        load.path("names").forEach(n -> reportNames.add(n.asText()));
+        JsonNode price = c.path("prices");
+        JsonNode rules = c.path("rules");
+        try {
+            return new Settings(integer(row, 2, "configure salt"), need(c, "myNumber").intValue(),
+                need(c, "instances").intValue(), c.path("zone").asText(), classes(c, info), kinds(c, info),
+                tenants(c, info), chosen(REPORTS, load, "how", Reports.NONE), reportNames,
+                info.path("counts").asText().equals("used"), info.path("view").asBoolean(),
+                c.path("discovery").asText().equals("ask"), info.path("confirms").asText().equals("running"),
+                info.path("useNotes").asBoolean(), info.path("displaces").asBoolean(),
+                info.path("oneHome").asBoolean(), info.path("admitCores").asDouble(1),
+                info.path("acceptsMemory").asDouble(1), info.path("meanCores").asDouble(1),
+                info.path("usualMemory").asDouble(1), c.path("overShareWorth").asDouble(1),
+                info.path("ownerWait").asLong(),
+                new Prices(price.path("fleet").asDouble(), price.path("moves").asDouble(),
+                    price.path("waste").asDouble(), price.path("crossZone").asDouble(),
+                    price.path("probe").asDouble(), price.path("discovery").asDouble(),
+                    info.path("turnedDownPrice").asDouble(), info.path("evictionAsMoves").asDouble()),
+                new Rules(rules.path("graceToAnswer").asLong(), rules.path("stopSendingWithin").asLong(),
+                    rules.path("mustAskIn").asLong(), rules.path("coldFrom").asDouble(),
+                    rules.path("rampTime").asLong(), rules.path("fallMultiple").asDouble(),
+                    rules.path("fall").asLong(), info.path("coldSends").asDouble()),
+                new Limits(limits.path("probes").asBoolean(), limits.path("cancelling").asBoolean(),
+                    limits.path("retryAfter").asBoolean(), limits.path("secondCopies").asBoolean(),
+                    need(limits, "mostTries").intValue(), limits.path("maxRetryAfter").asLong()));
+        } catch (IllegalArgumentException e) {
+            throw new WireException("configure: " + e.getMessage());
+        }
+    }
+
+    private static List<TaskClass> classes(JsonNode c, JsonNode info) throws WireException {
+        List<TaskClass> classes = new ArrayList<>();
+        for (JsonNode g : c.path("grades")) {
+            int i = classes.size();
+            classes.add(new TaskClass(need(g, "name").asText(), chosen(EFFECTS, g, "effect", null),
+                chosen(SCOPES, g, "keyScope", Scope.ALL), g.path("memorySpan").asLong(), g.path("aim").asLong(),
+                need(g, "deadline").asLong(), g.path("importance").asDouble(1), g.path("lateWorth").asDouble(),
+                info.path("classStartS").path(i).asDouble(), info.path("calmLevel").path(i).asDouble(1),
+                info.path("fadesOver").path(i).asDouble(1), info.path("classPriority").path(i).asInt(),
+                info.path("needsKind").path(i).asInt(-1),
+                SCOPES.getOrDefault(info.path("classSpread").path(i).asText("off"), Scope.NONE),
+                info.path("spreadMost").path(i).asInt()));
+        }
+        return classes;
+    }
+
+    private static List<MachineKind> kinds(JsonNode c, JsonNode info) {
+        List<MachineKind> kinds = new ArrayList<>();
+        for (JsonNode name : c.path("hostTypes")) {
+            int i = kinds.size();
+            kinds.add(new MachineKind(name.asText(), info.path("sizeCores").path(i).asDouble(),
+                info.path("memOfKind").path(i).asDouble()));
+        }
+        return kinds;
+    }
+
+    private static List<Tenant> tenants(JsonNode c, JsonNode info) {
+        List<Tenant> tenants = new ArrayList<>();
+        for (JsonNode t : c.path("projects")) {
+            tenants.add(new Tenant(t.path("name").asText(), t.path("share").asDouble(),
+                info.path("shareCores").path(tenants.size()).asDouble()));
+        }
+        return tenants;
+    }
+
+    // ---- actions ----
+
+    static void write(StringBuilder out, String placer, Action action) {
+        if (action instanceof Offer a) {
+            write(out, "propose", placer, a.id(), a.machine(), a.timeout());
+        } else if (action instanceof SetTimer a) {
+            write(out, "setTimer", placer, a.at(), a.ref());
+        } else if (action instanceof Probe a) {
+            write(out, "touch", placer, a.machine());
+        } else if (action instanceof Refuse a) {
+            write(out, "turnAway", placer, a.id(), a.retryAfter());
+        } else if (action instanceof Fail a) {
+            write(out, "reportFailure", placer, a.id());
+        } else if (action instanceof Cancel a) {
+            write(out, "undoSend", placer, a.id(), a.attempt());
+        } else if (action instanceof Move a) {
+            write(out, "reassign", placer, a.id());
+        } else if (action instanceof Subscribe a) {
+            write(out, "watch", placer, a.on());
+        } else if (action instanceof FetchList) {
+            write(out, "reload", placer);
+        } else if (action instanceof Log a) {
+            write(out, "noteDown", placer, a.text());
+        }
+    }
+
+    static void write(StringBuilder out, Object... values) {
+        char before = '[';
+        for (Object value : values) {
+            out.append(before);
+            before = ',';
+            if (value instanceof String s) {
+                try {
+                    out.append(JSON.writeValueAsString(s));
+                } catch (com.fasterxml.jackson.core.JsonProcessingException e) {
+                    throw new IllegalStateException(e);
+                }
+            } else {
+                out.append(value);
+            }
+        }
+        out.append("]\n");
+    }
+
+    // ---- values ----
+
+    private static JsonNode at(JsonNode row, int index) {
+        JsonNode node = row.get(index);
+        return node == null ? MissingNode.getInstance() : node;
+    }
+
+    private static boolean absent(JsonNode node) {
+        return node.isNull() || node.isMissingNode();
+    }
+
+    static long integer(JsonNode row, int index, String what) throws WireException {
+        JsonNode node = at(row, index);
+        if (!node.isIntegralNumber()) {
+            throw new WireException(what + ": not a whole number");
+        }
+        return node.longValue();
+    }
+
+    static long integerOr(JsonNode row, int index, long instead, String what) throws WireException {
+        return absent(at(row, index)) ? instead : integer(row, index, what);
+    }
+
+    private static double numberOr(JsonNode row, int index, double instead, String what) throws WireException {
+        JsonNode node = at(row, index);
+        if (absent(node)) {
+            return instead;
+        }
+        if (!node.isNumber()) {
+            throw new WireException(what + ": not a number");
+        }
+        return node.doubleValue();
+    }
+
+    static String text(JsonNode row, int index, String what) throws WireException {
+        JsonNode node = at(row, index);
+        if (!node.isTextual()) {
+            throw new WireException(what + ": not a text");
+        }
+        return node.textValue();
+    }
+
+    private static String textOr(JsonNode row, int index, String instead, String what) throws WireException {
+        return absent(at(row, index)) ? instead : text(row, index, what);
+    }
+
+    private static boolean flag(JsonNode row, int index, String what) throws WireException {
+        JsonNode node = at(row, index);
+        if (!absent(node) && !node.isBoolean()) {
+            throw new WireException(what + ": not true or false");
+        }
+        return node.asBoolean();
+    }
+
+    private static JsonNode need(JsonNode object, String key) throws WireException {
+        JsonNode node = object.path(key);
+        if (absent(node)) {
+            throw new WireException("configure: setting " + key + " is missing");
+        }
+        return node;
+    }
+
+    private static <T> T chosen(Map<String, T> words, JsonNode row, int index, String what) throws WireException {
+        T value = words.get(text(row, index, what));
+        if (value == null) {
+            throw new WireException(what + ": unknown word " + row.get(index).textValue());
+        }
+        return value;
+    }
+
+    private static <T> T chosen(Map<String, T> words, JsonNode object, String key, T instead) throws WireException {
+        JsonNode node = object.path(key);
+        T value = absent(node) ? instead : words.get(node.asText());
+        if (value == null) {
+            throw new WireException("configure: setting " + key + " has unknown value " + node.asText());
+        }
+        return value;
+    }
+}
