--- a/src/main/java/thornferry/Policy.java
+++ b/src/main/java/thornferry/Policy.java
@@ -32,7 +32,7 @@
     /** Sampled machines per root of the eligible ones. */
     private static final double SAMPLE_FACTOR = 2.0;
     /** A report is taken to miss binds younger than this (refresh and delay); a list line those younger than that. */
-    private static final long REPORT_LAG = 800 * MS;
+    private static final long REPORT_LAG = 1100 * MS;
     private static final long LIST_LAG = 2500 * MS;
     /** Tasks use this part of what they ask until notes on own tasks tell better. */
     private static final double USUAL_USE = 0.75;
@@ -119,10 +119,10 @@
         double cores;
         double memory;
         int kind = -1;
-        final Filter coreFilter = new Filter(); // part of cores asked for or used, as reports count
-        final Filter memoryFilter = new Filter();
-        final Filter busyFilter = new Filter(); // part of cores busy, where reported
-        final Filter queueFilter = new Filter(); // offers and starts waiting, where reported
+        Filter coreFilter = new Filter(); // part of cores asked for or used, as reports count
+        Filter memoryFilter = new Filter();
+        Filter busyFilter = new Filter(); // part of cores busy, where reported
+        Filter queueFilter = new Filter(); // offers and starts waiting, where reported
         double lastCores; // the latest unfiltered reading, for room only
         double lastMemory;
         long readFrom = Long.MIN_VALUE; // binds from this time on are not covered by the reading
@@ -142,7 +142,7 @@
         double refusedCores;
         double refusedMemory;
         long crowdedUntil;
-        long probedAt = Long.MIN_VALUE;
+        long heardAt = Long.MIN_VALUE / 2; // when the last reading or probe came
         boolean probing;
 
         Machine(String id) {
@@ -297,6 +297,7 @@
             m.suspectFor = 0;
             m.uncovered.clear();
             m.lastHeld.clear();
+            forget(m);
         }
         if (settings.listShowsRoom() && settings.reports() != Reports.ON_PROBE
             && (settings.reports() == Reports.NONE || !m.coreFilter.heard())) {
@@ -304,6 +305,17 @@
         }
     }
 
+    /** Guards against frozen figures: a machine that starts anew is empty, whatever its last reading said. */
+    private static void forget(Machine m) {
+        m.coreFilter = new Filter();
+        m.memoryFilter = new Filter();
+        m.busyFilter = new Filter();
+        m.queueFilter = new Filter();
+        m.lastCores = 0;
+        m.lastMemory = 0;
+        m.heardAt = Long.MIN_VALUE / 2;
+    }
+
     private void read(Machine m, double coresFree, double memoryFree, long lag) {
         if (!(m.cores > 0) || !(m.memory > 0) || !Double.isFinite(coresFree) || !Double.isFinite(memoryFree)) {
             return;
@@ -312,6 +324,7 @@
         m.lastMemory = m.memory - memoryFree;
         m.coreFilter.read(m.lastCores / m.cores);
         m.memoryFilter.read(m.lastMemory / m.memory);
+        m.heardAt = now;
         m.readFrom = now - lag;
         while (!m.uncovered.isEmpty() && m.uncovered.peekFirst().at() < m.readFrom) {
             m.uncovered.removeFirst();
@@ -344,15 +357,16 @@
                 due.add(m);
             }
         }
-        if (settings.reports() != Reports.ON_PROBE || due.isEmpty()) {
+        if (settings.reports() == Reports.NONE || due.isEmpty()) {
             return;
         }
         double period = Math.max(PROBE_PERIOD, Math.min(PROBE_PERIOD_MOST,
             SECOND * due.size() / (PROBES_PER_ASK * Math.max(0.1, askRate))));
         probeCredit = Math.min(due.size(), probeCredit + passed * due.size() / period);
-        due.sort(Comparator.comparingLong(m -> m.probedAt));
+        due.sort(Comparator.comparingLong(m -> m.heardAt));
         for (Machine m : due) {
-            if (probeCredit < 1) {
+            // where answers bear reports, only a machine that none came from: its figures would stay frozen
+            if (probeCredit < 1 || now - m.heardAt < period) {
                 break;
             }
             probeCredit--;
@@ -362,7 +376,6 @@
 
     private void probe(Machine m) {
         m.probing = true;
-        m.probedAt = now;
         actions.accept(new Probe(m.id));
     }
 
@@ -372,6 +385,7 @@
             return;
         }
         m.probing = false;
+        m.heardAt = now;
         if (e.answered()) {
             report(m, e.report());
             if (m.suspect && now >= m.suspectUntil) {
@@ -413,6 +427,15 @@
         Task t = new Task(ask, classOf(ask.taskClass()), now);
         tasks.put(ask.id(), t);
         if (!place(t)) {
+            hold(t);
+        }
+    }
+
+    /** Guards against patience so short that no tick comes before it ends. */
+    private void hold(Task t) {
+        if (now >= t.deadline - ANSWER_EARLY) {
+            answerNo(t);
+        } else {
             held.add(t);
         }
     }
@@ -431,7 +454,7 @@
             if (now >= t.deadline - ANSWER_EARLY || cannotTryAgain(t)) {
                 answerNo(t);
             } else if (!place(t)) {
-                held.add(t);
+                hold(t);
             }
         }
     }
@@ -756,7 +779,7 @@
         if (copyStands || cannotTryAgain(t) || now >= t.deadline - ANSWER_EARLY) {
             answerNo(t);
         } else if (!place(t)) {
-            held.add(t);
+            hold(t);
         }
     }
 
