--- a/src/main/java/thornferry/Policy.java
+++ b/src/main/java/thornferry/Policy.java
@@ -765,6 +765,8 @@
         t.closed |= e.settled() || wasPlaced;
         if (!wasPlaced) {
             judge(m, t, e);
+        } else if (e.outcome() == Outcome.LOST && e.reason() == Reason.NONE) {
+            suspect(m, "a task was lost with it"); // a dead process breaks off offers at once: a black hole
         }
         if (t.closed) {
             tasks.remove(e.id());
@@ -810,7 +812,11 @@
                 m.unreachable = true;
                 suspect(m, "out of reach");
             }
-            case LOST, ERROR -> t.avoid = m;
+            case LOST -> {
+                t.avoid = m;
+                suspect(m, "an answer broke off");
+            }
+            case ERROR -> t.avoid = m;
             default -> { }
         }
     }
