--- a/src/main/java/thornferry/Policy.java
+++ b/src/main/java/thornferry/Policy.java
@@ -56,12 +56,11 @@
     private static final double PROBES_PER_ASK = 2.0;
     /** Bounds of an attempt's time-out; between them it follows the waits seen. */
     private static final long TIMEOUT_LEAST = 600 * MS;
+    private static final long TIMEOUT_RUNNING = 1500 * MS; // where the answer comes only when the task runs
     private static final long TIMEOUT_MOST = 3 * SECOND;
     /** A machine that let an attempt time out sits out this long, doubling to the most. */
     private static final long SUSPECT_LEAST = 1 * SECOND;
     private static final long SUSPECT_MOST = 8 * SECOND;
-    /** After a refusal for want of room, asks at least as large stay away until a reading can tell better. */
-    private static final long REFUSED_FOR = 1 * SECOND;
     private static final long CROWDED_FOR = 200 * MS;
     /** The part of its share of a cold machine's budget that a placer spends. */
     private static final double COLD_PART = 0.8;
@@ -138,7 +137,7 @@
         boolean unreachable;
         long coldUntil = Long.MIN_VALUE;
         final ArrayDeque<Long> offers = new ArrayDeque<>(); // within the cold window
-        long refusedUntil;
+        long refusedAt = Long.MIN_VALUE; // a refusal tells of room: less than this, but for own tasks since
         double refusedCores;
         double refusedMemory;
         long crowdedUntil;
@@ -167,6 +166,7 @@
         long mayHaveRunFrom;
         Machine avoid;
         double starts;
+        boolean firstStart;
         double usedCores = -1;
         double usedMemory = -1;
 
@@ -195,8 +195,8 @@
     private boolean subscribed;
     private long renewAt = Long.MIN_VALUE;
     private long renewWait = RENEW_LEAST;
-    private double waitMean = 100 * MS;
-    private double waitSpread = 50 * MS;
+    private final double[] waitMean = {100 * MS, 100 * MS}; // with the program present, and without
+    private final double[] waitSpread = {50 * MS, 50 * MS};
     private double useCores;
     private double useCoresOf;
     private double useMemory;
@@ -515,8 +515,8 @@
         if (t.mayHaveRun && t.cls.effect() == Effect.KEYED && !sameGroup(t.cls.keyScope(), m, t.mayHaveRunAt)) {
             return false;
         }
-        if (now < m.refusedUntil && t.ask.cores() >= m.refusedCores && t.ask.memory() >= m.refusedMemory) {
-            return false;
+        if (m.refusedAt >= m.readFrom && (t.ask.cores() >= m.refusedCores || t.ask.memory() >= m.refusedMemory)) {
+            return false; // guards against offering over and over on a reading older than the refusal
         }
         return hasRoom(m, t) && withinCold(m) && withinSpread(m, t);
     }
@@ -604,7 +604,7 @@
         double lean = settings.prices().fleet() > 0 ? 1 - Math.max(cores, memory) : Math.max(cores, memory);
         double queue = Math.max(m.queueFilter.heard() ? m.queueFilter.value() : mean[2], m.startsWaiting);
         double silent = m.unanswered.isEmpty() ? 0
-            : clamp((now - m.unanswered.values().iterator().next()) / (2 * waitMean + waitSpread) - 1);
+            : clamp((now - m.unanswered.values().iterator().next()) / (2 * waitMean[1] + waitSpread[1]) - 1);
         return W_OVER * over + W_LEAN * lean + W_START * newProgram(m, t) + W_QUEUE * clamp(queue / 20)
             + W_SILENT * silent + settings.prices().crossZone() * (inZone(m) ? 0 : 1);
     }
@@ -651,7 +651,10 @@
 
     private void offer(Task t, Machine m) {
         long left = t.deadline - now - ANSWER_EARLY / 2;
-        long timeout = (long) Math.min(TIMEOUT_MOST, Math.max(TIMEOUT_LEAST, 3 * waitMean + 4 * waitSpread));
+        t.starts = newProgram(m, t) > 0.5 ? SETUP : 1;
+        int w = t.starts > 1 ? 1 : 0;
+        long least = settings.placedWhenRunning() ? TIMEOUT_RUNNING : TIMEOUT_LEAST;
+        long timeout = (long) Math.min(TIMEOUT_MOST, Math.max(least, 3 * waitMean[w] + 4 * waitSpread[w]));
         if (t.cls.effect() == Effect.UNSAFE) {
             timeout = left; // a time-out only loses sight of it
         } else if (left - timeout < TIMEOUT_LEAST && t.attempts + 1 >= settings.limits().attempts()) {
@@ -661,7 +664,7 @@
         t.sentAt = now;
         t.out = true;
         t.attempts++;
-        t.starts = newProgram(m, t) > 0.5 ? SETUP : 1;
+        t.firstStart = w == 1;
         bind(m, t);
         m.unanswered.put(t.ask.id(), now);
         m.offers.addLast(now);
@@ -691,6 +694,10 @@
             }
         }
         m.uncovered.addLast(new Change(now, -t.ask.cores(), -t.ask.memory()));
+        if (held) {
+            m.refusedCores += t.ask.cores();
+            m.refusedMemory += t.ask.memory();
+        }
         String place = m.entry == null ? null : spreadPlace(m, t);
         if (place != null) {
             spread.merge(place, -1, Integer::sum);
@@ -713,16 +720,17 @@
         t.closed = true;
         t.at.unanswered.remove(e.id());
         healthy(t.at);
-        waited(e.waited());
+        waited(t, e.waited());
         if (settings.placedWhenRunning()) {
             t.running = true;
             started(t.at, t);
         }
     }
 
-    private void waited(long wait) {
-        waitSpread += 0.05 * (Math.abs(wait - waitMean) - waitSpread);
-        waitMean += 0.05 * (wait - waitMean);
+    private void waited(Task t, long wait) {
+        int w = t.firstStart ? 1 : 0;
+        waitSpread[w] += 0.05 * (Math.abs(wait - waitMean[w]) - waitSpread[w]);
+        waitMean[w] += 0.05 * (wait - waitMean[w]);
     }
 
     private void healthy(Machine m) {
@@ -790,11 +798,13 @@
         switch (e.outcome()) {
             case REFUSED -> {
                 healthy(m);
-                waited(e.waited());
+                if (!settings.placedWhenRunning()) {
+                    waited(t, e.waited());
+                }
                 if (e.reason() == Reason.NO_CORES || e.reason() == Reason.NO_MEMORY) {
-                    m.refusedUntil = now + REFUSED_FOR;
-                    m.refusedCores = e.reason() == Reason.NO_CORES ? t.ask.cores() : 0;
-                    m.refusedMemory = e.reason() == Reason.NO_MEMORY ? t.ask.memory() : 0;
+                    m.refusedAt = now;
+                    m.refusedCores = e.reason() == Reason.NO_CORES ? t.ask.cores() : Double.MAX_VALUE;
+                    m.refusedMemory = e.reason() == Reason.NO_MEMORY ? t.ask.memory() : Double.MAX_VALUE;
                 } else if (e.reason() == Reason.OFFERS_WAIT) {
                     m.crowdedUntil = now + CROWDED_FOR;
                 } else {
