--- a/src/main/java/thornferry/Policy.java
+++ b/src/main/java/thornferry/Policy.java
@@ -40,6 +40,8 @@
     private static final double MEMORY_CALM = 0.85;
     /** How far into the fade of the calmest class a machine may be filled before asks rather wait. */
     private static final double FADE_ALLOWED = 0.3;
+    /** The part of a machine's room that a class of no worth leaves to the class of most worth. */
+    private static final double KEPT_FOR_WORTH = 0.1;
     /** Weights of the score's figures. */
     private static final double W_OVER = 3.0;
     private static final double W_START = 0.5;
@@ -185,6 +187,7 @@
     private final List<Task> held = new ArrayList<>();
     private final Map<String, Integer> spread = new HashMap<>();
     private final double calm;
+    private final double mostWorth;
     private long now;
     private Consumer<Action> actions;
     private boolean ticking;
@@ -214,6 +217,7 @@
             least = Math.min(least, c.calm() + FADE_ALLOWED * c.fade());
         }
         calm = least;
+        mostWorth = Math.max(1e-9, settings.classes().stream().mapToDouble(TaskClass::worth).max().orElse(1));
         useCores = USUAL_USE * (useCoresOf = 4 * settings.meanCores());
         useMemory = USUAL_USE * (useMemoryOf = 4 * settings.meanMemory());
     }
@@ -551,8 +555,9 @@
         }
         double countC = settings.countsUsed() ? coreUse() : 1;
         double countM = settings.countsUsed() ? memoryUse() : 1;
-        if (cores + m.lastCores / countC > settings.acceptCores() * m.cores + 1e-9
-            || memory + m.lastMemory / countM > settings.acceptMemory() * m.memory + 1e-9) {
+        double open = 1 - KEPT_FOR_WORTH * (1 - t.cls.worth() / mostWorth);
+        if (cores + m.lastCores / countC > open * settings.acceptCores() * m.cores + 1e-9
+            || memory + m.lastMemory / countM > open * settings.acceptMemory() * m.memory + 1e-9) {
             return false;
         }
         return usedCores(m, t, null) <= calm && usedMemory(m, t, null) <= 0.95;
