--- a/src/main/java/thornferry/Policy.java
+++ b/src/main/java/thornferry/Policy.java
@@ -14,24 +14,24 @@
 /**
  * All decisions of one placer. The interface (settings, events, actions) is in Placement.java.
  *
- * <p>Ordinary path of an ask: eligible machines, a sample of about the root of their number, the lowest weighted
- * score of filtered figures, one offer. Everything else here guards that path where it breaks.
+ * <p>Ordinary path of an ask: eligible machines, a sample of about the root of their number, the lowest
+ * weighted score of filtered figures, one offer. Everything else here guards that path where it breaks.
  */
 public final class Policy implements Placement {
     // ---- constants: times in microseconds ----
     private static final long MS = 1_000;
     private static final long SECOND = 1_000_000;
-    /** Held asks, deadlines and probes are looked after this often: finer than any aim, coarse enough for CPU. */
+    /** Held asks, deadlines and probes are looked after this often: fine beside any aim. */
     private static final long TICK = 20 * MS;
     /** A final answer goes out this long before the owner's patience ends: two ticks. */
     private static final long ANSWER_EARLY = 2 * TICK;
     /** The fast half's Q: readings are late but not noisy, so it follows them with a gain near 0.8. */
     private static final double FAST_Q = 3.0;
-    /** The error that a reset leaves the slow half: at 4 its first step down is 0.8, later ones shrink as 1/n. */
+    /** The error that a reset leaves the slow half: at 4 its first step is 0.8, later ones shrink. */
     private static final double RESET_ERROR = 4.0;
     /** Sampled machines per root of the eligible ones. */
     private static final double SAMPLE_FACTOR = 2.0;
-    /** A report is taken to miss binds younger than this (refresh and delay); a list line those younger than that. */
+    /** A report misses binds younger than this (refresh and delay), a list line those younger than that. */
     private static final long REPORT_LAG = 1100 * MS;
     private static final long LIST_LAG = 2500 * MS;
     /** Tasks use this part of what they ask until notes on own tasks tell better. */
@@ -305,7 +305,7 @@
         }
         if (settings.listShowsRoom() && settings.reports() != Reports.ON_PROBE
             && (settings.reports() == Reports.NONE || !m.coreFilter.heard())) {
-            read(m, entry.coresFree(), entry.memoryFree(), LIST_LAG); // the list stands in where no report came
+            read(m, entry.coresFree(), entry.memoryFree(), LIST_LAG); // stands in for a report
         }
     }
 
@@ -321,7 +321,7 @@
     }
 
     private void read(Machine m, double coresFree, double memoryFree, long lag) {
-        if (!(m.cores > 0) || !(m.memory > 0) || !Double.isFinite(coresFree) || !Double.isFinite(memoryFree)) {
+        if (!(m.cores > 0) || !(m.memory > 0) || !Double.isFinite(coresFree + memoryFree)) {
             return;
         }
         m.lastCores = m.cores - coresFree;
@@ -516,10 +516,12 @@
         if (t.cls.needsKind() >= 0 && t.cls.needsKind() != m.kind) {
             return false;
         }
-        if (t.mayHaveRun && t.cls.effect() == Effect.KEYED && !sameGroup(t.cls.keyScope(), m, t.mayHaveRunAt)) {
+        boolean bound = t.mayHaveRun && t.cls.effect() == Effect.KEYED;
+        if (bound && !sameGroup(t.cls.keyScope(), m, t.mayHaveRunAt)) {
             return false;
         }
-        if (m.refusedAt >= m.readFrom && (t.ask.cores() >= m.refusedCores || t.ask.memory() >= m.refusedMemory)) {
+        boolean asBig = t.ask.cores() >= m.refusedCores || t.ask.memory() >= m.refusedMemory;
+        if (m.refusedAt >= m.readFrom && asBig) {
             return false; // guards against offering over and over on a reading older than the refusal
         }
         return hasRoom(m, t) && withinCold(m) && withinSpread(m, t);
@@ -635,8 +637,8 @@
         while (!m.offers.isEmpty() && m.offers.peekFirst() <= now - settings.rules().coldWindow()) {
             m.offers.removeFirst();
         }
-        double share = COLD_PART * settings.rules().coldOffers() / settings.instances();
-        return now >= m.coldUntil + settings.rules().coldWindow() || m.offers.size() < Math.max(1, Math.floor(share));
+        double share = Math.max(1, COLD_PART * settings.rules().coldOffers() / settings.instances());
+        return now >= m.coldUntil + settings.rules().coldWindow() || m.offers.size() + 1 <= share;
     }
 
     private String spreadPlace(Machine m, Task t) {
--- /dev/null
+++ b/src/test/java/thornferry/Fixtures.java
@@ -0,0 +1,119 @@
+package thornferry;
+
+import java.util.ArrayList;
+import java.util.List;
+import thornferry.Placement.*;
+
+/** Settings and a held clock for tests of the module through its interface. */
+final class Fixtures {
+    static final long MS = 1_000;
+    static final long SECOND = 1_000_000;
+
+    long seed = 7;
+    int instances = 1;
+    Reports reports = Reports.NONE;
+    List<String> reportNames = List.of("x0", "x1");
+    boolean countsUsed;
+    boolean mustAsk;
+    boolean running;
+    double fleetPrice;
+    double coldOffers = 40;
+    int attempts = 4;
+    boolean probes = true;
+    List<TaskClass> classes = new ArrayList<>(List.of(
+        taskClass("safe", Effect.SAFE, Scope.ALL, 5, Scope.NONE, 0),
+        taskClass("keyed", Effect.KEYED, Scope.ZONE, 5, Scope.NONE, 0),
+        taskClass("keyedAll", Effect.KEYED, Scope.ALL, 5, Scope.NONE, 0),
+        taskClass("unsafe", Effect.UNSAFE, Scope.ALL, 5, Scope.NONE, 0),
+        taskClass("spread", Effect.SAFE, Scope.ALL, 5, Scope.ZONE, 2),
+        taskClass("cheap", Effect.SAFE, Scope.ALL, 1, Scope.NONE, 0)));
+
+    static TaskClass taskClass(String name, Effect effect, Scope key, double worth, Scope spread, int most) {
+        return new TaskClass(name, effect, key, 5 * SECOND, SECOND, 8 * SECOND, worth, 0.1, 12, 1.0, 1.0, 0, -1,
+            spread, most);
+    }
+
+    Settings settings() {
+        return new Settings(seed, 0, instances, "a", classes, List.of(new MachineKind("std", 20, 40)), List.of(),
+            reports, reportNames, countsUsed, true, mustAsk, running, false, false, false, 1, 1, 1, 2, 0.1,
+            3 * SECOND, new Prices(fleetPrice, 0.08, 0.03, 0, 0.003, 0.004, 0.02, 2),
+            new Rules(8 * MS, 500 * MS, 10 * SECOND, 0.25, 16 * SECOND, 2, 3 * SECOND, coldOffers),
+            new Limits(probes, true, true, false, attempts, 3 * SECOND));
+    }
+
+    static MachineEntry machine(String id, String zone, MachineState state, double coresFree, long started) {
+        return new MachineEntry(id, zone, "std", 1, state, coresFree, coresFree * 2, 1, started);
+    }
+
+    static MachineEntry ready(String id, String zone, double coresFree) {
+        return machine(id, zone, MachineState.READY, coresFree, 0);
+    }
+
+    static MachineList full(MachineEntry... entries) {
+        return new MachineList(1, ListKind.FULL, List.of(entries));
+    }
+
+    static MachineList delta(MachineEntry... entries) {
+        return new MachineList(2, ListKind.DELTA, List.of(entries));
+    }
+
+    static Asked ask(String id, String taskClass, double cores) {
+        return ask(id, taskClass, cores, 8 * SECOND);
+    }
+
+    static Asked ask(String id, String taskClass, double cores, long patience) {
+        return new Asked(new Ask(id, taskClass, null, "t-" + id, patience, 0, "service", cores, cores, false));
+    }
+
+    static Ended ended(Offer offer, int attempt, Outcome outcome, Reason reason) {
+        return new Ended(offer.id(), attempt, offer.machine(), outcome, 50 * MS, false, reason, null);
+    }
+
+    /** One instance with its clock; timers fire when the test moves the clock past them. */
+    static final class Script {
+        final Placement module;
+        final List<Action> actions = new ArrayList<>();
+        final List<Long> timers = new ArrayList<>();
+        long now = 1_000 * SECOND;
+
+        Script(Fixtures fixtures) {
+            module = new Policy(fixtures.settings());
+        }
+
+        /** Sends one event; returns what it led to, timers left out. */
+        List<Action> send(Event event) {
+            List<Action> led = new ArrayList<>();
+            module.on(now, event, action -> {
+                if (action instanceof SetTimer timer) {
+                    timers.add(timer.at());
+                } else {
+                    led.add(action);
+                }
+            });
+            actions.addAll(led);
+            return led;
+        }
+
+        Offer offer(Event event) {
+            return send(event).stream().filter(Offer.class::isInstance).map(Offer.class::cast).findFirst()
+                .orElse(null);
+        }
+
+        /** Lets time pass, firing timers as they fall due. */
+        List<Action> pass(long time) {
+            List<Action> led = new ArrayList<>();
+            long end = now + time;
+            while (true) {
+                long due = timers.stream().mapToLong(Long::longValue).min().orElse(Long.MAX_VALUE);
+                if (due > end) {
+                    break;
+                }
+                timers.remove(due);
+                now = due;
+                led.addAll(send(new Timer(0)));
+            }
+            now = end;
+            return led;
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/thornferry/PolicyTest.java
@@ -0,0 +1,311 @@
+package thornferry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static thornferry.Fixtures.MS;
+import static thornferry.Fixtures.SECOND;
+import static thornferry.Fixtures.ask;
+import static thornferry.Fixtures.delta;
+import static thornferry.Fixtures.ended;
+import static thornferry.Fixtures.full;
+import static thornferry.Fixtures.machine;
+import static thornferry.Fixtures.ready;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import thornferry.Fixtures.Script;
+import thornferry.Placement.*;
+
+class PolicyTest {
+    private final Fixtures f = new Fixtures();
+
+    private Script with(MachineEntry... entries) {
+        Script s = new Script(f);
+        s.send(full(entries));
+        return s;
+    }
+
+    // ---- the ordinary path ----
+
+    @Test
+    void offersToTheLowestScore() {
+        Script s = with(ready("m1", "a", 4), ready("m2", "a", 18));
+        assertEquals("m2", s.offer(ask("r1", "safe", 1)).machine());
+    }
+
+    @Test
+    void leansToFullerMachinesWhereMachinesInUseArePriced() {
+        f.fleetPrice = 0.25;
+        Script s = with(ready("m1", "a", 12), ready("m2", "a", 20));
+        assertEquals("m1", s.offer(ask("r1", "safe", 1)).machine());
+    }
+
+    @Test
+    void ownBindsCountUntilAReadingCoversThem() {
+        Script s = with(ready("m1", "a", 4));
+        assertNotNull(s.offer(ask("r1", "safe", 3)));
+        assertNull(s.offer(ask("r2", "safe", 3)), "no room beside the first");
+    }
+
+    @Test
+    void aMachineNeverHeardFromScoresAsTheMean() {
+        f.reports = Reports.ON_PROBE;
+        Script s = with(ready("m1", "a", 0), ready("m2", "a", 0), ready("m3", "a", 0));
+        s.send(new Probed("m1", true, MS, new double[] {2, 40}));
+        s.send(new Probed("m2", true, MS, new double[] {18, 40}));
+        Set<String> chosen = new HashSet<>();
+        for (int i = 0; i < 3; i++) {
+            chosen.add(s.offer(new Asked(new Ask("r" + i, "safe", null, "t", 8 * SECOND, 0, "s" + i, 5, 1, false)))
+                .machine());
+        }
+        assertTrue(chosen.contains("m2") && !chosen.contains("m1"), "emptier than the mean, never the full one");
+    }
+
+    @Test
+    void staysWhereTheProgramRuns() {
+        Script s = with(ready("m1", "a", 16), ready("m2", "a", 16));
+        String first = s.offer(ask("r1", "safe", 0.5)).machine();
+        assertEquals(first, s.offer(ask("r2", "safe", 0.5)).machine());
+    }
+
+    @Test
+    void sameEventsSameActions() {
+        List<List<Action>> runs = new java.util.ArrayList<>();
+        for (int run = 0; run < 2; run++) {
+            Script s = with(ready("m1", "a", 9), ready("m2", "b", 9), ready("m3", "a", 9), ready("m4", "b", 9));
+            for (int i = 0; i < 40; i++) {
+                s.send(ask("r" + i, i % 2 == 0 ? "safe" : "keyed", 0.5));
+                s.pass(30 * MS);
+            }
+            runs.add(s.actions);
+        }
+        assertEquals(runs.get(0), runs.get(1));
+    }
+
+    // ---- rule 1: one final answer in time ----
+
+    @Test
+    void aHeldAskIsRefusedBeforeItsOwnerLeaves() {
+        Script s = with(ready("m1", "a", 0.5));
+        assertTrue(s.send(ask("r1", "safe", 3)).isEmpty(), "held while nothing fits");
+        assertEquals(List.of(), s.pass(7 * SECOND).stream().filter(a -> !(a instanceof Probe)).toList());
+        assertTrue(s.pass(SECOND).contains(new Refuse("r1", 0)));
+    }
+
+    @Test
+    void anAskOfLessPatienceThanATickIsAnsweredAtOnce() {
+        Script s = with();
+        assertEquals(List.of(new Refuse("r1", 0)), s.send(ask("r1", "safe", 1, 5 * MS)));
+    }
+
+    @Test
+    void aHeldAskIsOfferedOnceRoomShows() {
+        Script s = with(ready("m1", "a", 0.5));
+        s.send(ask("r1", "safe", 3));
+        s.send(delta(ready("m1", "a", 15)));
+        assertTrue(s.pass(100 * MS).stream().anyMatch(Offer.class::isInstance));
+    }
+
+    @Test
+    void theAttemptLimitEndsInARefusal() {
+        f.attempts = 2;
+        Script s = with(ready("m1", "a", 18), ready("m2", "a", 18), ready("m3", "a", 18));
+        Offer first = s.offer(ask("r1", "safe", 1));
+        Offer second = s.offer(ended(first, 0, Outcome.REFUSED, Reason.NO_CORES));
+        assertNotEquals(first.machine(), second.machine());
+        assertEquals(List.of(new Refuse("r1", 0)), s.send(ended(second, 1, Outcome.REFUSED, Reason.NO_CORES)));
+    }
+
+    @Test
+    void nothingFollowsWhenTheOwnerLeft() {
+        Script s = with(ready("m1", "a", 18), ready("m2", "a", 18));
+        Offer first = s.offer(ask("r1", "safe", 1));
+        s.send(new OwnerLeft("r1"));
+        assertTrue(s.send(ended(first, 0, Outcome.REFUSED, Reason.NO_CORES)).isEmpty());
+    }
+
+    // ---- rule 2: no effect twice ----
+
+    @Test
+    void anUnsafeTaskThatMayHaveRunFails() {
+        Script s = with(ready("m1", "a", 18), ready("m2", "a", 18));
+        Offer first = s.offer(ask("r1", "unsafe", 1));
+        s.pass(2 * SECOND);
+        assertTrue(s.send(ended(first, 0, Outcome.TIMED_OUT, Reason.NONE)).contains(new Fail("r1")));
+    }
+
+    @Test
+    void aKeyedTaskThatMayHaveRunStaysInItsGroup() {
+        Script s = with(ready("m1", "a", 18), ready("m2", "b", 18), ready("m3", "a", 18), ready("m4", "b", 18));
+        Offer first = s.offer(ask("r1", "keyed", 1));
+        s.pass(SECOND);
+        Offer second = s.offer(ended(first, 0, Outcome.TIMED_OUT, Reason.NONE));
+        assertNotEquals(first.machine(), second.machine());
+        Set<String> a = Set.of("m1", "m3");
+        assertEquals(a.contains(first.machine()), a.contains(second.machine()));
+    }
+
+    @Test
+    void aKeyedTaskOutsideItsWindowFailsAndOneOfGroupAllIsRefused() {
+        Script s = with(ready("m1", "a", 18), ready("m2", "a", 18));
+        Offer zone = s.offer(ask("r1", "keyed", 1));
+        Offer all = s.offer(ask("r2", "keyedAll", 1));
+        s.pass(5 * SECOND);
+        assertTrue(s.send(ended(zone, 0, Outcome.TIMED_OUT, Reason.NONE)).contains(new Fail("r1")));
+        assertTrue(s.send(ended(all, 0, Outcome.TIMED_OUT, Reason.NONE)).contains(new Refuse("r2", 0)));
+    }
+
+    @Test
+    void anOutcomeThatComesTwiceIsIgnored() {
+        Script s = with(ready("m1", "a", 18), ready("m2", "a", 18));
+        Offer first = s.offer(ask("r1", "safe", 1));
+        assertNotNull(s.offer(ended(first, 0, Outcome.REFUSED, Reason.NO_CORES)));
+        assertTrue(s.send(ended(first, 0, Outcome.REFUSED, Reason.NO_CORES)).isEmpty());
+    }
+
+    // ---- rule 3: drains ----
+
+    @Test
+    void nothingGoesToADrainingOrAbsentMachine() {
+        Script s = with(ready("m1", "a", 18), ready("m2", "a", 18));
+        s.send(delta(machine("m1", "a", MachineState.DRAINING, 18, 0)));
+        s.send(full(machine("m1", "a", MachineState.DRAINING, 18, 0)));
+        assertNull(s.offer(ask("r1", "safe", 1)));
+        s.send(full(ready("m1", "a", 18)));
+        assertTrue(s.pass(40 * MS).stream().anyMatch(Offer.class::isInstance));
+    }
+
+    // ---- rule 4: cold machines ----
+
+    @Test
+    void aColdMachineGetsThisPlacersShareOfItsBudget() {
+        f.instances = 4;
+        f.coldOffers = 20; // 5 for this placer, of which it spends 4
+        Script s = new Script(f);
+        s.send(full(machine("m1", "a", MachineState.READY, 18, s.now)));
+        int offers = 0;
+        for (int i = 0; i < 10; i++) {
+            offers += s.offer(ask("r" + i, "safe", 0.1)) == null ? 0 : 1;
+        }
+        assertEquals(4, offers);
+    }
+
+    // ---- rule 5: spread ----
+
+    @Test
+    void runningTasksCountForTheSpread() {
+        Script s = with(ready("m1", "a", 18), ready("m2", "a", 18));
+        Ask running = new Ask("r0", "spread", null, "t0", SECOND, 0, "service", 1, 1, false);
+        assertTrue(s.send(new Running(running, "m1")).isEmpty(), "never sent");
+        assertNotNull(s.offer(ask("r1", "spread", 1)));
+        assertNull(s.offer(ask("r2", "spread", 1)), "two in the zone are the most");
+    }
+
+    // ---- failures found on the bench ----
+
+    @Test
+    void aRestartedMachineIsNotJudgedByItsFrozenFigures() {
+        f.reports = Reports.WITH_ANSWERS;
+        Script s = with(ready("m1", "a", 18));
+        Offer first = s.offer(ask("r1", "safe", 1));
+        s.send(new Ended("r1", 0, "m1", Outcome.REFUSED, MS, true, Reason.NO_CORES, new double[] {0, 0}));
+        assertNotNull(first);
+        s.pass(3 * SECOND);
+        assertNull(s.offer(ask("r2", "safe", 1)), "full when last heard");
+        s.send(delta(machine("m1", "a", MachineState.READY, 20, s.now - SECOND)));
+        assertTrue(s.pass(100 * MS).stream().anyMatch(Offer.class::isInstance));
+    }
+
+    @Test
+    void aMachineNoneHearFromIsProbed() {
+        f.reports = Reports.WITH_ANSWERS;
+        Script s = with(ready("m1", "a", 18));
+        assertTrue(s.pass(5 * SECOND).contains(new Probe("m1")));
+    }
+
+    @Test
+    void aMachineThatBreaksOffAnswersSitsOutUntilAProbe() {
+        Script s = with(ready("m1", "a", 18), ready("m2", "a", 2), ready("m3", "a", 2));
+        Offer first = s.offer(ask("r1", "safe", 1));
+        assertEquals("m1", first.machine());
+        s.send(ended(first, 0, Outcome.LOST, Reason.NONE));
+        s.pass(100 * MS);
+        assertNotEquals("m1", s.offer(ask("r2", "safe", 0.5)).machine());
+        assertTrue(s.pass(2 * SECOND).contains(new Probe("m1")));
+        s.send(new Probed("m1", true, MS, null));
+        assertEquals("m1", s.offer(ask("r3", "safe", 1)).machine());
+    }
+
+    @Test
+    void whereMostLookBadTheOwnViewIsDoubted() {
+        Script s = with(ready("m1", "a", 18), ready("m2", "a", 18));
+        for (String id : List.of("r1", "r2")) {
+            Offer offer = s.offer(ask(id, "safe", 1));
+            s.send(ended(offer, 0, Outcome.LOST, Reason.NONE));
+        }
+        assertNotNull(s.offer(ask("r3", "safe", 1)));
+    }
+
+    @Test
+    void aRefusalTellsOfRoomUntilANewerReading() {
+        Script s = with(ready("m1", "a", 18));
+        Offer first = s.offer(ask("r1", "safe", 2));
+        s.send(ended(first, 0, Outcome.REFUSED, Reason.NO_CORES));
+        assertNull(s.offer(ask("r2", "safe", 2)));
+        assertNotNull(s.offer(ask("r3", "safe", 1)), "a smaller one may still fit");
+    }
+
+    @Test
+    void classesOfLessWorthLeaveRoom() {
+        Script s = with(ready("m1", "a", 1));
+        assertNull(s.offer(ask("r1", "cheap", 0.5)));
+        assertNotNull(s.offer(ask("r2", "safe", 0.5)));
+    }
+
+    @Test
+    void aLostSubscriptionIsRenewedWithBackoff() {
+        f.mustAsk = true;
+        Script s = new Script(f);
+        s.send(new MachineList(1, ListKind.CACHED, List.of(ready("m1", "a", 18))));
+        assertTrue(s.actions.contains(new Subscribe(true)));
+        s.send(new MachineList(1, ListKind.FAILED, List.of()));
+        assertTrue(s.pass(500 * MS).contains(new Subscribe(true)));
+        s.send(new MachineList(1, ListKind.FAILED, List.of()));
+        assertTrue(s.pass(400 * MS).isEmpty(), "waits longer");
+        assertTrue(s.pass(500 * MS).contains(new Subscribe(true)));
+    }
+
+    // ---- bad input ----
+
+    @Test
+    void invalidSettingsAreNamed() {
+        f.instances = 0;
+        assertTrue(assertThrows(IllegalArgumentException.class, () -> new Policy(f.settings())).getMessage()
+            .contains("instances"));
+        f.instances = 1;
+        f.classes.clear();
+        assertTrue(assertThrows(IllegalArgumentException.class, () -> new Policy(f.settings())).getMessage()
+            .contains("classes"));
+    }
+
+    @Test
+    void emptyListsZeroSizesAndReadingsThatAreNoNumbersNeverOffer() {
+        Script s = with();
+        assertNull(s.offer(ask("r1", "safe", 1)));
+        s.send(full(new MachineEntry("m1", "a", "unknown kind", 1, MachineState.READY, 5, 5, 1, 0)));
+        assertNull(s.offer(ask("r2", "safe", 1)));
+        s.send(full(machine("m1", "a", MachineState.READY, Double.NaN, 0)));
+        s.send(new Probed("m1", true, MS, new double[] {Double.NaN}));
+        s.send(new Probed("never listed", true, MS, null));
+        s.send(new Noted("r9", 0, "m1", NoteKind.CORES_USED, Double.NaN));
+        s.send(new Placed("r9", 0, "m1", MS));
+        s.send(new OwnerLeft("r9"));
+        s.pass(SECOND);
+    }
+}
