--- a/src/main/java/thornferry/Policy.java
+++ b/src/main/java/thornferry/Policy.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -140,8 +139,8 @@
         long coldUntil = Long.MIN_VALUE;
         final ArrayDeque<Long> offers = new ArrayDeque<>(); // within the cold window
         long refusedAt = Long.MIN_VALUE; // a refusal tells of room: less than this, but for own tasks since
-        double refusedCores;
-        double refusedMemory;
+        double refusedCores = Double.MAX_VALUE;
+        double refusedMemory = Double.MAX_VALUE;
         long crowdedUntil;
         long heardAt = Long.MIN_VALUE / 2; // when the last reading or probe came
         boolean probing;
@@ -185,7 +184,6 @@
     private final Map<String, Machine> machines = new LinkedHashMap<>();
     private final Map<String, Task> tasks = new HashMap<>();
     private final List<Task> held = new ArrayList<>();
-    private final Map<String, Integer> spread = new HashMap<>();
     private final double calm;
     private final double mostWorth;
     private long now;
@@ -641,19 +639,18 @@
         return now >= m.coldUntil + settings.rules().coldWindow() || m.offers.size() + 1 <= share;
     }
 
-    private String spreadPlace(Machine m, Task t) {
-        String where = switch (t.cls.spread()) {
-            case MACHINE -> m.id;
-            case CELL -> "cell " + m.entry.cell();
-            case ZONE -> "zone " + m.entry.zone();
-            default -> null;
-        };
-        return where == null ? null : t.ask.service() + "\n" + where;
-    }
-
+    /** Counted over the machines as listed now: a task may be handed over before its machine is listed. */
     private boolean withinSpread(Machine m, Task t) {
-        String place = spreadPlace(m, t);
-        return place == null || spread.getOrDefault(place, 0) < t.cls.spreadMost();
+        if (t.cls.spread() == Scope.NONE) {
+            return true;
+        }
+        int there = 0;
+        for (Machine other : machines.values()) {
+            if (other == m || sameGroup(t.cls.spread(), m, other)) {
+                there += other.services.getOrDefault(t.ask.service(), 0);
+            }
+        }
+        return there < t.cls.spreadMost();
     }
 
     private void offer(Task t, Machine m) {
@@ -683,10 +680,6 @@
         m.startsWaiting += t.starts;
         m.services.merge(t.ask.service(), 1, Integer::sum);
         m.uncovered.addLast(new Change(now, t.ask.cores(), t.ask.memory()));
-        String place = m.entry == null ? null : spreadPlace(m, t);
-        if (place != null) {
-            spread.merge(place, 1, Integer::sum);
-        }
     }
 
     /** Undoes a bind when its outcome is in. */
@@ -705,10 +698,6 @@
             m.refusedCores += t.ask.cores();
             m.refusedMemory += t.ask.memory();
         }
-        String place = m.entry == null ? null : spreadPlace(m, t);
-        if (place != null) {
-            spread.merge(place, -1, Integer::sum);
-        }
         use(t, -1, -1);
     }
 
--- /dev/null
+++ b/src/test/java/thornferry/RulesTest.java
@@ -0,0 +1,213 @@
+package thornferry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static thornferry.Fixtures.MS;
+import static thornferry.Fixtures.SECOND;
+import static thornferry.Fixtures.machine;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import thornferry.Fixtures.Script;
+import thornferry.Placement.*;
+
+/** Random but fixed streams of events, checked by RuleChecker; and the checker itself on bad actions. */
+class RulesTest {
+    private static final List<String> CLASSES = List.of("safe", "keyed", "keyedAll", "unsafe", "spread", "cheap");
+    private static final Outcome[] UNPLACED = {Outcome.REFUSED, Outcome.TIMED_OUT, Outcome.UNREACHABLE, Outcome.LOST,
+        Outcome.ERROR, Outcome.CANCELLED};
+
+    private record Out(Offer offer, int attempt, long sent) { }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void aRandomStreamBreaksNoRule(long seed) {
+        Random random = new Random(seed);
+        Fixtures f = new Fixtures();
+        f.seed = seed;
+        f.instances = 2;
+        f.reports = Reports.values()[(int) (seed % 3)];
+        f.countsUsed = seed % 2 == 0;
+        f.mustAsk = seed % 4 < 2;
+        Script s = new Script(f);
+        RuleChecker checker = new RuleChecker(f.settings());
+        List<Out> out = new ArrayList<>();
+        feed(s, checker, out, new MachineList(1, ListKind.CACHED, randomList(random, s.now)));
+        int ids = 0;
+        for (int step = 0; step < 1500; step++) {
+            pass(s, checker, out, random.nextInt(40) * MS);
+            int what = random.nextInt(10);
+            if (what < 5) {
+                String cls = CLASSES.get(random.nextInt(CLASSES.size()));
+                Ask ask = new Ask("r" + ids++, cls, null, "t", (20 + random.nextInt(6000)) * MS, 0,
+                    cls + random.nextInt(3), random.nextInt(4), random.nextInt(6), false);
+                feed(s, checker, out, random.nextInt(12) == 0 ? new Running(ask, "m" + random.nextInt(9))
+                    : new Asked(ask));
+            } else if (what < 6) {
+                MachineList list = random.nextInt(8) == 0 ? new MachineList(1, ListKind.FAILED, List.of())
+                    : new MachineList(1, random.nextBoolean() ? ListKind.FULL : ListKind.DELTA,
+                        randomList(random, s.now));
+                feed(s, checker, out, list);
+            } else if (!out.isEmpty()) {
+                answer(s, checker, out, random, out.remove(random.nextInt(out.size())));
+            }
+        }
+        while (!out.isEmpty()) {
+            answer(s, checker, out, random, out.remove(0));
+        }
+        pass(s, checker, out, 20 * SECOND);
+        checker.end(s.now);
+        assertEquals(List.of(), checker.broken);
+        assertTrue(checker.offers > 100, "the stream exercised the module: " + checker.offers);
+    }
+
+    private static List<MachineEntry> randomList(Random random, long now) {
+        List<MachineEntry> entries = new ArrayList<>();
+        for (int i = 0; i < 9; i++) {
+            if (random.nextInt(5) > 0) {
+                MachineState state = random.nextInt(5) == 0 ? MachineState.DRAINING : MachineState.READY;
+                long started = random.nextInt(6) == 0 ? now - random.nextInt(8) * SECOND : 0;
+                entries.add(machine("m" + i, i % 2 == 0 ? "a" : "b", state, random.nextInt(21), started));
+            }
+        }
+        return entries;
+    }
+
+    private static void answer(Script s, RuleChecker checker, List<Out> out, Random random, Out attempt) {
+        String id = attempt.offer().id();
+        String on = attempt.offer().machine();
+        if (s.now - attempt.sent() < attempt.offer().timeout() && random.nextBoolean()) {
+            feed(s, checker, out, new Placed(id, attempt.attempt(), on, 10 * MS));
+            feed(s, checker, out, new Ended(id, attempt.attempt(), on,
+                random.nextInt(4) == 0 ? Outcome.LOST : Outcome.ENDED, SECOND, true, Reason.NONE,
+                new double[] {random.nextInt(20), random.nextInt(40)}));
+            return;
+        }
+        Outcome outcome = s.now - attempt.sent() >= attempt.offer().timeout() ? Outcome.TIMED_OUT
+            : UNPLACED[random.nextInt(UNPLACED.length)];
+        Reason reason = outcome == Outcome.REFUSED ? Reason.values()[random.nextInt(5)] : Reason.NONE;
+        feed(s, checker, out, new Ended(id, attempt.attempt(), on, outcome, 10 * MS, false, reason, null));
+    }
+
+    private static void feed(Script s, RuleChecker checker, List<Out> out, Event event) {
+        checker.event(s.now, event);
+        for (Action action : s.send(event)) {
+            checker.action(s.now, action);
+            if (action instanceof Offer offer) {
+                out.add(new Out(offer, checker.attempts(offer.id()) - 1, s.now));
+            } else if (action instanceof Probe) {
+                assertTrue(checker.known(((Probe) action).machine()), "probes only machines it was told of");
+            }
+        }
+    }
+
+    /** Lets time pass tick by tick; attempts past their time-out get their outcome. */
+    private static void pass(Script s, RuleChecker checker, List<Out> out, long time) {
+        long end = s.now + time;
+        while (true) {
+            long timer = s.timers.stream().mapToLong(Long::longValue).min().orElse(Long.MAX_VALUE);
+            long late = out.stream().mapToLong(o -> o.sent() + o.offer().timeout()).min().orElse(Long.MAX_VALUE);
+            if (Math.min(timer, late) > end) {
+                break;
+            }
+            s.now = Math.max(s.now, Math.min(timer, late));
+            if (late <= timer) {
+                Out gone = out.stream().filter(o -> o.sent() + o.offer().timeout() == late).findFirst().orElseThrow();
+                out.remove(gone);
+                feed(s, checker, out, new Ended(gone.offer().id(), gone.attempt(), gone.offer().machine(),
+                    Outcome.TIMED_OUT, s.now - gone.sent(), false, Reason.NONE, null));
+            } else {
+                s.timers.remove(timer);
+                feed(s, checker, out, new Timer(0));
+            }
+        }
+        s.now = end;
+    }
+
+    // ---- the checker catches bad ones ----
+
+    private final Fixtures f = new Fixtures();
+
+    private RuleChecker checker() {
+        RuleChecker checker = new RuleChecker(f.settings());
+        checker.event(0, Fixtures.full(Fixtures.ready("m1", "a", 9), Fixtures.ready("m2", "b", 9)));
+        return checker;
+    }
+
+    private static void caught(RuleChecker checker, String rule) {
+        assertTrue(checker.broken.stream().anyMatch(b -> b.startsWith(rule)), rule + " in " + checker.broken);
+    }
+
+    @Test
+    void catchesALostAndATwiceAnsweredTask() {
+        RuleChecker lost = checker();
+        lost.event(0, Fixtures.ask("r1", "safe", 1));
+        lost.end(9 * SECOND);
+        caught(lost, "rule 1");
+        RuleChecker twice = checker();
+        twice.event(0, Fixtures.ask("r1", "safe", 1));
+        twice.action(1, new Refuse("r1", 0));
+        twice.action(2, new Offer("r1", "m1", SECOND));
+        caught(twice, "rule 1");
+    }
+
+    @Test
+    void catchesASecondEffect() {
+        for (String cls : List.of("unsafe", "keyed")) {
+            RuleChecker checker = checker();
+            checker.event(0, Fixtures.ask("r1", cls, 1));
+            Offer offer = new Offer("r1", "m1", SECOND);
+            checker.action(0, offer);
+            checker.event(SECOND, Fixtures.ended(offer, 0, Outcome.TIMED_OUT, Reason.NONE));
+            checker.action(SECOND, new Offer("r1", "m2", SECOND));
+            caught(checker, "rule 2");
+        }
+        RuleChecker two = checker();
+        two.event(0, Fixtures.ask("r1", "safe", 1));
+        two.action(0, new Offer("r1", "m1", SECOND));
+        two.action(0, new Offer("r1", "m2", SECOND));
+        caught(two, "rule 2");
+        RuleChecker refused = checker();
+        refused.event(0, Fixtures.ask("r1", "unsafe", 1));
+        Offer offer = new Offer("r1", "m1", SECOND);
+        refused.action(0, offer);
+        refused.event(SECOND, Fixtures.ended(offer, 0, Outcome.LOST, Reason.NONE));
+        refused.action(SECOND, new Refuse("r1", 0));
+        caught(refused, "rule 2");
+    }
+
+    @Test
+    void catchesWorkForADrainingMachine() {
+        RuleChecker checker = checker();
+        checker.event(0, Fixtures.delta(machine("m1", "a", MachineState.DRAINING, 9, 0)));
+        checker.event(0, Fixtures.ask("r1", "safe", 1));
+        checker.action(SECOND, new Offer("r1", "m1", SECOND));
+        caught(checker, "rule 3");
+    }
+
+    @Test
+    void catchesABurstAtAColdMachine() {
+        f.coldOffers = 3;
+        RuleChecker checker = checker();
+        checker.event(0, Fixtures.delta(machine("m1", "a", MachineState.READY, 9, 1)));
+        for (int i = 0; i < 4; i++) {
+            checker.event(2, Fixtures.ask("r" + i, "safe", 1));
+            checker.action(2, new Offer("r" + i, "m1", SECOND));
+        }
+        caught(checker, "rule 4");
+    }
+
+    @Test
+    void catchesAServiceTooCloseTogether() {
+        RuleChecker checker = checker();
+        for (int i = 0; i < 3; i++) {
+            checker.event(0, Fixtures.ask("r" + i, "spread", 1));
+            checker.action(0, new Offer("r" + i, "m1", SECOND));
+        }
+        caught(checker, "rule 5");
+    }
+}
