--- a/src/main/java/thornferry/Policy.java
+++ b/src/main/java/thornferry/Policy.java
@@ -40,7 +40,7 @@
     /** How far into the fade of the calmest class a machine may be filled before asks rather wait. */
     private static final double FADE_ALLOWED = 0.3;
     /** The part of a machine's room that a class of no worth leaves to the class of most worth. */
-    private static final double KEPT_FOR_WORTH = 0.1;
+    private static final double KEPT_FOR_WORTH = 0.15;
     /** Weights of the score's figures. */
     private static final double W_OVER = 3.0;
     private static final double W_START = 0.5;
@@ -555,7 +555,7 @@
         }
         double countC = settings.countsUsed() ? coreUse() : 1;
         double countM = settings.countsUsed() ? memoryUse() : 1;
-        double open = 1 - KEPT_FOR_WORTH * (1 - t.cls.worth() / mostWorth);
+        double open = 1 - KEPT_FOR_WORTH * clamp(1 - 1.5 * t.cls.worth() / mostWorth); // near equals share
         if (cores + m.lastCores / countC > open * settings.acceptCores() * m.cores + 1e-9
             || memory + m.lastMemory / countM > open * settings.acceptMemory() * m.memory + 1e-9) {
             return false;
