--- a/src/main/java/thornferry/Policy.java
+++ b/src/main/java/thornferry/Policy.java
@@ -301,8 +301,7 @@
             m.lastHeld.clear();
             forget(m);
         }
-        if (settings.listShowsRoom() && settings.reports() != Reports.ON_PROBE
-            && (settings.reports() == Reports.NONE || !m.coreFilter.heard())) {
+        if (settings.listShowsRoom() && (settings.reports() == Reports.NONE || !m.coreFilter.heard())) {
             read(m, entry.coresFree(), entry.memoryFree(), LIST_LAG); // stands in for a report
         }
     }
