--- a/src/main/java/thornferry/Policy.java
+++ b/src/main/java/thornferry/Policy.java
@@ -62,6 +62,11 @@
     /** A machine that let an attempt time out sits out this long, doubling to the most. */
     private static final long SUSPECT_LEAST = 1 * SECOND;
     private static final long SUSPECT_MOST = 8 * SECOND;
+    /**
+     * Where readings count use, what is asked for is only inferred: so much is taken off it, since a refused offer
+     * corrects a guess too low at once and nothing corrects one too high.
+     */
+    private static final double HOPE = 1.15;
     private static final long CROWDED_FOR = 200 * MS;
     /** The part of its share of a cold machine's budget that a placer spends. */
     private static final double COLD_PART = 0.8;
@@ -552,8 +557,8 @@
             cores += c.cores();
             memory += c.memory();
         }
-        double countC = settings.countsUsed() ? coreUse() : 1;
-        double countM = settings.countsUsed() ? memoryUse() : 1;
+        double countC = settings.countsUsed() ? HOPE * coreUse() : 1;
+        double countM = settings.countsUsed() ? HOPE * memoryUse() : 1;
         double open = 1 - KEPT_FOR_WORTH * clamp(1 - 1.5 * t.cls.worth() / mostWorth); // near equals share
         if (cores + m.lastCores / countC > open * settings.acceptCores() * m.cores + 1e-9
             || memory + m.lastMemory / countM > open * settings.acceptMemory() * m.memory + 1e-9) {
