--- a/src/main/java/thornferry/Policy.java
+++ b/src/main/java/thornferry/Policy.java
@@ -63,8 +63,8 @@
     private static final long SUSPECT_LEAST = 1 * SECOND;
     private static final long SUSPECT_MOST = 8 * SECOND;
     /**
-     * Where readings count use, what is asked for is only inferred: so much is taken off it, since a refused offer
-     * corrects a guess too low at once and nothing corrects one too high.
+     * Where readings count use, what is asked for is only inferred: so much is taken off it, since a refused
+     * offer corrects a guess too low at once and nothing corrects one too high.
      */
     private static final double HOPE = 1.15;
     private static final long CROWDED_FOR = 200 * MS;
