--- a/src/main/java/thornferry/Policy.java
+++ b/src/main/java/thornferry/Policy.java
@@ -46,6 +46,7 @@
     private static final double W_START = 0.5;
     private static final double W_QUEUE = 0.6;
     private static final double W_LEAN = 0.3;
+    private static final double SPREAD_LEAN = 2.5; // times the lean, where machines in use cost nothing
     private static final double W_SILENT = 0.5;
     /** A start without the program weighs as so many with it: used to count what waits at a machine. */
     private static final double SETUP = 6.0;
@@ -610,7 +611,8 @@
         double cores = usedCores(m, t, mean);
         double memory = usedMemory(m, t, mean);
         double over = clamp((cores - calm + 0.1) / 0.3) + clamp((memory - MEMORY_CALM) / 0.15);
-        double lean = settings.prices().fleet() > 0 ? 1 - Math.max(cores, memory) : Math.max(cores, memory);
+        double lean = settings.prices().fleet() > 0 ? 1 - Math.max(cores, memory)
+            : SPREAD_LEAN * Math.max(cores, memory);
         double queue = Math.max(m.queueFilter.heard() ? m.queueFilter.value() : mean[2], m.startsWaiting);
         double silent = m.unanswered.isEmpty() ? 0
             : clamp((now - m.unanswered.values().iterator().next()) / (2 * waitMean[1] + waitSpread[1]) - 1);
