--- a/src/main/java/thornferry/Policy.java
+++ b/src/main/java/thornferry/Policy.java
@@ -135,7 +135,6 @@
         final ArrayDeque<Change> uncovered = new ArrayDeque<>();
         final Map<String, Integer> services = new HashMap<>(); // own tasks there
         final Map<String, Long> lastHeld = new HashMap<>();
-        int tasks;
         double startsWaiting; // own, in starts with the program present
         final Map<String, Long> unanswered = new LinkedHashMap<>(); // own offers out, oldest first
         long suspectUntil;
@@ -166,7 +165,6 @@
         long sentAt;
         boolean out;
         boolean placed;
-        boolean running;
         boolean closed; // no final answer is owed any more
         boolean mayHaveRun;
         Machine mayHaveRunAt;
@@ -682,7 +680,6 @@
     }
 
     private void bind(Machine m, Task t) {
-        m.tasks++;
         m.startsWaiting += t.starts;
         m.services.merge(t.ask.service(), 1, Integer::sum);
         m.uncovered.addLast(new Change(now, t.ask.cores(), t.ask.memory()));
@@ -690,7 +687,6 @@
 
     /** Undoes a bind when its outcome is in. */
     private void release(Machine m, Task t, boolean held) {
-        m.tasks--;
         started(m, t);
         m.unanswered.remove(t.ask.id());
         if (m.services.merge(t.ask.service(), -1, Integer::sum) <= 0) {
@@ -724,7 +720,6 @@
         healthy(t.at);
         waited(t, e.waited());
         if (settings.placedWhenRunning()) {
-            t.running = true;
             started(t.at, t);
         }
     }
@@ -863,7 +858,6 @@
         t.out = true;
         t.placed = true;
         t.closed = true;
-        t.running = true;
         tasks.put(e.ask().id(), t);
         bind(t.at, t);
         t.at.uncovered.removeLast(); // it ran before, so readings have it
@@ -876,8 +870,7 @@
         }
         switch (e.kind()) {
             case RUNS -> {
-                t.running = true;
-                started(t.at, t);
+                    started(t.at, t);
             }
             case CORES_USED -> use(t, e.level(), t.usedMemory);
             case MEMORY_USED -> use(t, t.usedCores, e.level());
