Where placers outnumber machines: homes by a shared hash, probes when an ask comes, work only when due

Cause: with some 300 placers each sees well under one ask a second.

Change, all acting only where there are more placers than machines: a service's tasks lean to the four machines that a capacity-weighted hash of service and machine names for all placers alike (not where a service has one placer: there the machines of its own tasks join the sample); the list's figures count again once own readings are older than the list; where only probes tell, an ask first probes three homes for 80 ms at most; no periodic probes; timers only when something is due. Everywhere: a share of the cold budget below one is drawn by chance for each window; a time-out makes the machine sit out for that class, and as a whole only if it answered nothing since; the sample is drawn lazily. Pairs of cores and memory go through one path.

Could harm: homes when lists differ much between placers, or when one service is larger than its homes.

--- a/src/main/java/thornferry/Policy.java
+++ b/src/main/java/thornferry/Policy.java
@@ -1,14 +1,8 @@
 package thornferry;
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.SplittableRandom;
+import java.util.*;
 import java.util.function.Consumer;
+import java.util.function.ToDoubleFunction;
 
 /**
  * All decisions of one placer. The interface (settings, events, actions) is in Placement.java.
@@ -18,10 +12,13 @@
  */
 public final class Policy implements Placement {
     // ---- constants: times in microseconds ----
+    private static final int CORES = 0, MEMORY = 1, BUSY = 2, QUEUE = 3; // places of the figures
     private static final long MS = 1_000;
     private static final long SECOND = 1_000_000;
     /** Held asks, deadlines and probes are looked after this often: fine beside any aim. */
     private static final long TICK = 20 * MS;
+    /** Held asks are tried again when there is news, and after this long without any. */
+    private static final long RETRY = 100 * MS;
     /** A final answer goes out this long before the owner's patience ends: two ticks. */
     private static final long ANSWER_EARLY = 2 * TICK;
     /** The fast half's Q: readings are late but not noisy, so it follows them with a gain near 0.8. */
@@ -37,6 +34,7 @@
     private static final double USUAL_USE = 0.75;
     /** Memory above this part in use slows tasks and soon evicts: kept clear of by weight, then by filter. */
     private static final double MEMORY_CALM = 0.85;
+    private static final double MEMORY_FULL = 0.95;
     /** How far into the fade of the calmest class a machine may be filled before asks rather wait. */
     private static final double FADE_ALLOWED = 0.3;
     /** The part of a machine's room that a class of no worth leaves to the class of most worth. */
@@ -47,12 +45,19 @@
     private static final double W_QUEUE = 0.6;
     private static final double W_LEAN = 0.3;
     private static final double SPREAD_LEAN = 2.5; // times the lean, where machines in use cost nothing
-    private static final double W_SILENT = 0.5;
     /** A start without the program weighs as so many with it: used to count what waits at a machine. */
     private static final double SETUP = 6.0;
     /** A machine keeps a program about so long after its last task here. */
     private static final long KEPT = 8 * SECOND;
-    /** Probe each machine once a period; fewer where this placer has few asks, so that probes stay cheap. */
+    /** Where placers are many: the machines that a service's program is expected on, by a hash all share. */
+    private static final int HOMES = 4;
+    private static final double HOME_FIRST = 0.1; // what a home counts as of a new program, each further one
+    private static final double HOME_NEXT = 0.15;
+    /** Where placers are many and only probes tell, an ask waits so long for probes of so many homes. */
+    private static final int PROBED_HOMES = 3;
+    private static final long PROBE_WAIT = 80 * MS;
+    private static final long PROBE_FRESH = 400 * MS;
+    /** Where machines outnumber placers: a period for each, longer where this placer has few asks. */
     private static final long PROBE_PERIOD = 700 * MS;
     private static final long PROBE_PERIOD_MOST = 2 * SECOND;
     private static final double PROBES_PER_ASK = 2.0;
@@ -68,8 +73,9 @@
      * offer corrects a guess too low at once and nothing corrects one too high.
      */
     private static final double HOPE = 1.15;
+    private static final long[] NEVER_OUT = {Long.MIN_VALUE, 0};
     private static final long CROWDED_FOR = 200 * MS;
-    /** The part of its share of a cold machine's budget that a placer spends. */
+    /** The part of its share of a cold machine's budget that a placer spends; by chance only half of it. */
     private static final double COLD_PART = 0.8;
     /** A lost subscription is renewed after this, doubling to the most; well inside mustAskIn. */
     private static final long RENEW_LEAST = 300 * MS;
@@ -83,7 +89,7 @@
         private double slowError = 1;
         private double fastError = 1;
         private boolean rising;
-        private boolean heard;
+        boolean heard;
 
         void read(double z) {
             if (!Double.isFinite(z)) {
@@ -108,10 +114,6 @@
         double value() {
             return rising ? fast : slow;
         }
-
-        boolean heard() {
-            return heard;
-        }
     }
 
     // ---- machines ----
@@ -122,39 +124,68 @@
         final String id;
         MachineEntry entry;
         boolean ready;
-        double cores;
-        double memory;
         int kind = -1;
-        Filter coreFilter = new Filter(); // part of cores asked for or used, as reports count
-        Filter memoryFilter = new Filter();
-        Filter busyFilter = new Filter(); // part of cores busy, where reported
-        Filter queueFilter = new Filter(); // offers and starts waiting, where reported
-        double lastCores; // the latest unfiltered reading, for room only
-        double lastMemory;
+        final double[] size = new double[2]; // cores and memory, as in all pairs below
+        final Filter[] figures = new Filter[4]; // parts, as reports count; busy part; queue
+        final double[] last = new double[2]; // the latest unfiltered reading, for room only
         long readFrom = Long.MIN_VALUE; // binds from this time on are not covered by the reading
         final ArrayDeque<Change> uncovered = new ArrayDeque<>();
-        final Map<String, Integer> services = new HashMap<>(); // own tasks there
-        final Map<String, Long> lastHeld = new HashMap<>();
+        final double[] uncoveredSum = new double[2];
         double startsWaiting; // own, in starts with the program present
-        final Map<String, Long> unanswered = new LinkedHashMap<>(); // own offers out, oldest first
         long suspectUntil;
         long suspectFor;
         boolean suspect;
-        boolean unreachable;
+        long answeredAt = Long.MIN_VALUE / 2;
+        final Map<String, long[]> classOut = new HashMap<>(); // until when it gets none of it, for how long
         long coldUntil = Long.MIN_VALUE;
         final ArrayDeque<Long> offers = new ArrayDeque<>(); // within the cold window
         long refusedAt = Long.MIN_VALUE; // a refusal tells of room: less than this, but for own tasks since
-        double refusedCores = Double.MAX_VALUE;
-        double refusedMemory = Double.MAX_VALUE;
+        final double[] refused = {Double.MAX_VALUE, Double.MAX_VALUE};
         long crowdedUntil;
         long heardAt = Long.MIN_VALUE / 2; // when the last reading or probe came
         boolean probing;
+        double rank; // among the homes or the sample of one task
 
         Machine(String id) {
             this.id = id;
+            forget();
+        }
+
+        /** Guards against frozen figures: a machine that starts anew is empty, whatever its last readings. */
+        void forget() {
+            Arrays.setAll(figures, i -> new Filter());
+            Arrays.fill(last, 0);
+            heardAt = Long.MIN_VALUE / 2;
+        }
+
+        boolean heard() {
+            return figures[CORES].heard;
+        }
+
+        boolean sized() {
+            return size[CORES] > 0 && size[MEMORY] > 0;
+        }
+
+        void changed(long now, Task t, int sign) {
+            uncovered.addLast(new Change(now, sign * t.asks[CORES], sign * t.asks[MEMORY]));
+            uncoveredSum[CORES] += sign * t.asks[CORES];
+            uncoveredSum[MEMORY] += sign * t.asks[MEMORY];
+        }
+
+        void coveredTo(long time) {
+            while (!uncovered.isEmpty() && uncovered.peekFirst().at() < time) {
+                uncoveredSum[CORES] -= uncovered.peekFirst().cores();
+                uncoveredSum[MEMORY] -= uncovered.removeFirst().memory();
+            }
         }
     }
 
+    /** Own tasks of one service on one machine. */
+    private static final class Own {
+        int tasks;
+        long last = Long.MIN_VALUE / 2; // when the last one that ran ended
+    }
+
     // ---- tasks ----
     private static final class Task {
         final Ask ask;
@@ -163,71 +194,80 @@
         int attempts;
         Machine at; // of the attempt that is out or placed
         long sentAt;
-        boolean out;
-        boolean placed;
+        boolean out, placed, mayHaveRun;
         boolean closed; // no final answer is owed any more
-        boolean mayHaveRun;
         Machine mayHaveRunAt;
         long mayHaveRunFrom;
         Machine avoid;
+        List<Machine> homes = List.of();
+        long probesUntil; // 0 before any
         double starts;
         boolean firstStart;
-        double usedCores = -1;
-        double usedMemory = -1;
+        final double[] asks;
+        final double[] used = {-1, -1}; // below 0: not told
 
         Task(Ask ask, TaskClass cls, long now) {
             this.ask = ask;
             this.cls = cls;
+            this.asks = new double[] {ask.cores(), ask.memory()};
             this.deadline = now + Math.max(0, ask.patience());
         }
+
+        boolean keyBound() {
+            return mayHaveRun && cls.effect() == Effect.KEYED;
+        }
     }
 
     private final Settings settings;
     private final SplittableRandom random;
-    private final Map<String, Integer> reportAt = new HashMap<>();
     private final Map<String, Machine> machines = new LinkedHashMap<>();
+    private final List<Machine> ready = new ArrayList<>();
+    private final Map<String, Map<Machine, Own>> own = new HashMap<>(); // by service
     private final Map<String, Task> tasks = new HashMap<>();
     private final List<Task> held = new ArrayList<>();
+    private final Map<String, TaskClass> classes = new HashMap<>();
     private final double calm;
     private final double mostWorth;
-    private long now;
+    private long now, lastTick, lastRetry;
     private Consumer<Action> actions;
-    private boolean ticking;
-    private long lastTick;
     private double probeCredit;
     private double askRate; // own asks per second, smoothed
-    private int asksThisTick;
+    private int asks; // since the last tick
+    private long timerAt = Long.MAX_VALUE;
+    private boolean news, suspects;
+    private double[] mean = new double[4];
+    private long meanAt = Long.MIN_VALUE / 2;
     private boolean subscribed;
     private long renewAt = Long.MIN_VALUE;
     private long renewWait = RENEW_LEAST;
     private final double[] waitMean = {100 * MS, 100 * MS}; // with the program present, and without
     private final double[] waitSpread = {50 * MS, 50 * MS};
-    private double useCores;
-    private double useCoresOf;
-    private double useMemory;
-    private double useMemoryOf;
-    private boolean doubting;
+    private final double[] use = new double[2]; // what own tasks use, of what they ask for
+    private final double[] useOf = new double[2];
 
     public Policy(Settings settings) {
         this.settings = settings;
         this.random = new SplittableRandom(settings.seed());
-        for (int i = 0; i < settings.reportNames().size(); i++) {
-            reportAt.put(settings.reportNames().get(i), i);
-        }
-        double least = Double.MAX_VALUE;
-        for (TaskClass c : settings.classes()) {
-            least = Math.min(least, c.calm() + FADE_ALLOWED * c.fade());
-        }
-        calm = least;
-        mostWorth = Math.max(1e-9, settings.classes().stream().mapToDouble(TaskClass::worth).max().orElse(1));
-        useCores = USUAL_USE * (useCoresOf = 4 * settings.meanCores());
-        useMemory = USUAL_USE * (useMemoryOf = 4 * settings.meanMemory());
+        settings.classes().forEach(c -> classes.put(c.name(), c));
+        calm = most(c -> -c.calm() - FADE_ALLOWED * c.fade()) * -1;
+        mostWorth = Math.max(1e-9, most(TaskClass::worth));
+        useOf[CORES] = 4 * settings.meanCores();
+        useOf[MEMORY] = 4 * settings.meanMemory();
+        Arrays.setAll(use, r -> USUAL_USE * useOf[r]);
+    }
+
+    private double most(ToDoubleFunction<TaskClass> of) {
+        return classes.values().stream().mapToDouble(of).max().orElseThrow();
     }
 
     @Override
     public void on(long time, Event event, Consumer<Action> sink) {
+        if (timerAt == Long.MAX_VALUE) {
+            lastTick = time;
+        }
         now = time;
         actions = sink;
+        news |= !(event instanceof Timer || event instanceof Asked);
         if (event instanceof Asked e) {
             asked(e.ask());
         } else if (event instanceof Ended e) {
@@ -247,13 +287,19 @@
         } else if (event instanceof Timer) {
             tick();
         }
-        if (!ticking) {
-            ticking = true;
-            lastTick = now;
-            actions.accept(new SetTimer(now + TICK, 0));
+        long due = lastTick + (!held.isEmpty() || !many() ? TICK : suspects || !subscribed ? RETRY : SECOND);
+        due = Math.max(now + 1, due);
+        if (due < timerAt) {
+            timerAt = due;
+            actions.accept(new SetTimer(due, 0));
         }
     }
 
+    /** More placers than machines: this one sees little of each, and where programs run only by chance. */
+    private boolean many() {
+        return settings.instances() > machines.size();
+    }
+
     // ---- the list, the subscription, probes ----
     private void machineList(MachineList e) {
         if (e.kind() == ListKind.FAILED) {
@@ -273,6 +319,8 @@
             machines.values().forEach(m -> m.ready = false);
         }
         e.entries().forEach(this::listed);
+        ready.clear();
+        machines.values().stream().filter(m -> m.ready).forEach(ready::add);
     }
 
     private void renew() {
@@ -287,11 +335,11 @@
         boolean restarted = m.entry != null && entry.started() > m.entry.started();
         m.entry = entry;
         m.ready = entry.state() == MachineState.READY;
-        for (int i = 0; i < settings.kinds().size(); i++) {
-            if (settings.kinds().get(i).name().equals(entry.kind())) {
-                m.kind = i;
-                m.cores = settings.kinds().get(i).cores();
-                m.memory = settings.kinds().get(i).memory();
+        for (MachineKind kind : settings.kinds()) {
+            if (kind.name().equals(entry.kind())) {
+                m.kind = settings.kinds().indexOf(kind);
+                m.size[CORES] = kind.cores();
+                m.size[MEMORY] = kind.memory();
             }
         }
         if (entry.started() > 0) {
@@ -299,89 +347,73 @@
         }
         if (restarted) {
             m.suspect = false;
-            m.unreachable = false;
             m.suspectFor = 0;
-            m.uncovered.clear();
-            m.lastHeld.clear();
-            forget(m);
+            m.coveredTo(Long.MAX_VALUE);
+            m.classOut.clear();
+            own.values().forEach(at -> at.computeIfPresent(m, (k, there) -> there.tasks == 0 ? null : there));
+            m.forget();
         }
-        if (settings.listShowsRoom() && (settings.reports() == Reports.NONE || !m.coreFilter.heard())) {
+        if (settings.listShowsRoom() && (settings.reports() == Reports.NONE || !m.heard()
+            || many() && m.readFrom < now - LIST_LAG)) {
             read(m, entry.coresFree(), entry.memoryFree(), LIST_LAG); // stands in for a report
         }
     }
 
-    /** Guards against frozen figures: a machine that starts anew is empty, whatever its last reading said. */
-    private static void forget(Machine m) {
-        m.coreFilter = new Filter();
-        m.memoryFilter = new Filter();
-        m.busyFilter = new Filter();
-        m.queueFilter = new Filter();
-        m.lastCores = 0;
-        m.lastMemory = 0;
-        m.heardAt = Long.MIN_VALUE / 2;
-    }
-
     private void read(Machine m, double coresFree, double memoryFree, long lag) {
-        if (!(m.cores > 0) || !(m.memory > 0) || !Double.isFinite(coresFree + memoryFree)) {
+        if (!m.sized() || !Double.isFinite(coresFree + memoryFree)) {
             return;
         }
-        m.lastCores = m.cores - coresFree;
-        m.lastMemory = m.memory - memoryFree;
-        m.coreFilter.read(m.lastCores / m.cores);
-        m.memoryFilter.read(m.lastMemory / m.memory);
-        m.heardAt = now;
-        m.readFrom = now - lag;
-        while (!m.uncovered.isEmpty() && m.uncovered.peekFirst().at() < m.readFrom) {
-            m.uncovered.removeFirst();
+        for (int r = CORES; r <= MEMORY; r++) {
+            m.last[r] = m.size[r] - (r == CORES ? coresFree : memoryFree);
+            m.figures[r].read(m.last[r] / m.size[r]);
         }
+        m.heardAt = now;
+        m.coveredTo(m.readFrom = now - lag);
     }
 
     private void report(Machine m, double[] report) {
-        if (report == null) {
-            return;
+        if (report != null) {
+            read(m, value(report, "x0"), value(report, "x1"), REPORT_LAG);
+            m.figures[BUSY].read(value(report, "cpu"));
+            m.figures[QUEUE].read(value(report, "waiting"));
         }
-        read(m, value(report, "x0"), value(report, "x1"), REPORT_LAG);
-        m.busyFilter.read(value(report, "cpu"));
-        m.queueFilter.read(value(report, "waiting"));
     }
 
     private double value(double[] report, String name) {
-        Integer at = reportAt.get(name);
-        return at == null || at >= report.length ? Double.NaN : report[at];
+        int at = settings.reportNames().indexOf(name);
+        return at < 0 || at >= report.length ? Double.NaN : report[at];
     }
 
     private void probeSome(long passed) {
-        if (!settings.limits().probes() || machines.isEmpty()) {
-            return;
-        }
         List<Machine> due = new ArrayList<>();
-        for (Machine m : machines.values()) {
-            if (m.ready && !m.probing && m.suspect && now >= m.suspectUntil) {
+        suspects = false;
+        for (Machine m : ready) {
+            suspects |= m.suspect;
+            if (m.suspect && now >= m.suspectUntil) {
                 probe(m); // a suspect comes back by a probe, not by a task
-            } else if (m.ready && !m.probing && !m.suspect) {
+            } else if (!m.probing && !m.suspect) {
                 due.add(m);
             }
         }
-        if (settings.reports() == Reports.NONE || due.isEmpty()) {
+        if (settings.reports() == Reports.NONE || due.isEmpty() || many()) {
             return;
         }
         double period = Math.max(PROBE_PERIOD, Math.min(PROBE_PERIOD_MOST,
             SECOND * due.size() / (PROBES_PER_ASK * Math.max(0.1, askRate))));
         probeCredit = Math.min(due.size(), probeCredit + passed * due.size() / period);
         due.sort(Comparator.comparingLong(m -> m.heardAt));
-        for (Machine m : due) {
-            // where answers bear reports, only a machine that none came from: its figures would stay frozen
-            if (probeCredit < 1 || now - m.heardAt < period) {
-                break;
-            }
+        // where answers bear reports, only a machine that none came from: its figures would stay frozen
+        for (int i = 0; i < due.size() && probeCredit >= 1 && now - due.get(i).heardAt >= period; i++) {
             probeCredit--;
-            probe(m);
+            probe(due.get(i));
         }
     }
 
     private void probe(Machine m) {
-        m.probing = true;
-        actions.accept(new Probe(m.id));
+        if (!m.probing && settings.limits().probes()) {
+            m.probing = true;
+            actions.accept(new Probe(m.id));
+        }
     }
 
     private void probed(Probed e) {
@@ -392,50 +424,75 @@
         m.probing = false;
         m.heardAt = now;
         if (e.answered()) {
+            m.answeredAt = now;
             report(m, e.report());
             if (m.suspect && now >= m.suspectUntil) {
                 m.suspect = false;
-                backFromUnreachable(m);
             }
         } else if (m.suspect) {
-            m.suspectUntil = now + SUSPECT_LEAST / 2;
+            m.suspectUntil = now + (many() ? SUSPECT_MOST / 2 : SUSPECT_LEAST / 2);
         }
+        retryHeld();
     }
 
     private void tick() {
         long passed = now - lastTick;
         lastTick = now;
-        double part = Math.min(1, passed / (3.0 * SECOND));
-        askRate += part * (asksThisTick * (double) SECOND / Math.max(1, passed) - askRate);
-        asksThisTick = 0;
+        askRate += Math.min(1, passed / 3e6) * (asks * 1e6 / Math.max(1, passed) - askRate);
+        asks = 0;
+        if (now >= timerAt) {
+            timerAt = Long.MAX_VALUE;
+        }
         renew();
         probeSome(passed);
         retryHeld();
-        actions.accept(new SetTimer(now + TICK, 0));
     }
 
     // ---- an ask: eligible, sample, score, offer ----
-    private TaskClass classOf(String name) {
-        for (TaskClass c : settings.classes()) {
-            if (c.name().equals(name)) {
-                return c;
-            }
-        }
-        return settings.classes().get(0);
-    }
-
     private void asked(Ask ask) {
-        asksThisTick++;
+        asks++;
         if (tasks.containsKey(ask.id())) {
             return;
         }
-        Task t = new Task(ask, classOf(ask.taskClass()), now);
+        Task t = new Task(ask, classes.getOrDefault(ask.taskClass(), settings.classes().get(0)), now);
         tasks.put(ask.id(), t);
-        if (!place(t)) {
+        if (many() && !settings.oneHome()) {
+            t.homes = homes(t);
+        }
+        if (probesFirst(t) || !place(t)) {
             hold(t);
         }
     }
 
+    /** Where the service's program is expected: placers that list the same machines come to the same. */
+    private List<Machine> homes(Task t) {
+        List<Machine> ranked = new ArrayList<>(ready);
+        long seed = (long) t.ask.service().hashCode() << 32;
+        ranked.forEach(m -> m.rank = -Math.log(1 - random(seed ^ m.id.hashCode())) / (1e-9 + m.size[CORES]));
+        ranked.sort(Comparator.comparingDouble(m -> m.rank));
+        return new ArrayList<>(ranked.subList(0, Math.min(HOMES, ranked.size())));
+    }
+
+    private static double random(long seed) {
+        return new SplittableRandom(seed).nextDouble();
+    }
+
+    /** Guards against old readings where placers are many and only probes tell: asks the homes first. */
+    private boolean probesFirst(Task t) {
+        if (!many() || settings.reports() != Reports.ON_PROBE || settings.listShowsRoom() || t.attempts > 0) {
+            return false;
+        }
+        boolean waits = false;
+        for (Machine m : t.homes.subList(0, Math.min(PROBED_HOMES, t.homes.size()))) {
+            if (m.ready && !m.suspect && t.probesUntil == 0 && now - m.heardAt > PROBE_FRESH) {
+                probe(m);
+            }
+            waits |= m.probing;
+        }
+        t.probesUntil = t.probesUntil == 0 ? now + PROBE_WAIT : t.probesUntil;
+        return waits && now < t.probesUntil;
+    }
+
     /** Guards against patience so short that no tick comes before it ends. */
     private void hold(Task t) {
         if (now >= t.deadline - ANSWER_EARLY) {
@@ -449,6 +506,9 @@
         if (held.isEmpty()) {
             return;
         }
+        boolean look = news || now - lastRetry >= RETRY;
+        lastRetry = look ? now : lastRetry;
+        news = false;
         List<Task> waiting = new ArrayList<>(held);
         held.clear();
         waiting.sort(Comparator.comparingDouble(t -> -t.cls.worth()));
@@ -458,70 +518,48 @@
             }
             if (now >= t.deadline - ANSWER_EARLY || cannotTryAgain(t)) {
                 answerNo(t);
-            } else if (!place(t)) {
+            } else if (probesFirst(t) || !look || !place(t)) {
                 hold(t);
             }
         }
     }
 
     private boolean cannotTryAgain(Task t) {
-        return t.attempts >= settings.limits().attempts() || t.mayHaveRun && (t.cls.effect() == Effect.UNSAFE
-            || t.cls.effect() == Effect.KEYED && now >= t.mayHaveRunFrom + t.cls.keyWindow() - TICK);
+        return t.attempts >= settings.limits().attempts() || t.mayHaveRun && t.cls.effect() == Effect.UNSAFE
+            || t.keyBound() && now >= t.mayHaveRunFrom + t.cls.keyWindow() - TICK;
     }
 
     /** Offers the task to a machine if any will do; false if it has to wait. */
     private boolean place(Task t) {
-        List<Machine> fit = new ArrayList<>();
-        doubting = doubtOwnView();
-        for (Machine m : machines.values()) {
-            if (eligible(m, t)) {
-                fit.add(m);
+        Set<Machine> sample = new LinkedHashSet<>();
+        for (Machine m : own.getOrDefault(t.ask.service(), Map.of()).keySet()) {
+            if (many() && eligible(m, t)) {
+                sample.add(m); // the program is there, and a sample of a large fleet would hardly draw it
             }
         }
-        if (fit.isEmpty()) {
-            return false;
-        }
-        int sample = (int) Math.min(fit.size(), Math.ceil(SAMPLE_FACTOR * Math.sqrt(fit.size())));
-        Machine best = null;
-        double lowest = Double.POSITIVE_INFINITY;
-        double[] mean = means();
-        for (int i = 0; i < sample; i++) {
-            int j = i + random.nextInt(fit.size() - i);
-            Machine m = fit.set(j, fit.get(i));
-            double score = score(m, t, mean);
-            if (best == null || score < lowest) {
-                best = m;
-                lowest = score;
+        t.homes.stream().filter(m -> eligible(m, t)).forEach(sample::add);
+        int drawn = (int) Math.ceil(SAMPLE_FACTOR * Math.sqrt(ready.size()));
+        for (int i = 0; i < ready.size() && drawn > 0; i++) { // drawn until enough are eligible
+            Collections.swap(ready, i, i + random.nextInt(ready.size() - i));
+            if (eligible(ready.get(i), t)) {
+                sample.add(ready.get(i));
+                drawn--;
             }
         }
-        offer(t, best);
-        return true;
-    }
-
-    private boolean doubtOwnView() {
-        int bad = 0;
-        int ready = 0;
-        for (Machine m : machines.values()) {
-            if (m.ready) {
-                ready++;
-                bad += m.suspect ? 1 : 0;
-            }
-        }
-        return bad * 2 > ready; // most look bad: more likely this placer's own link than all the machines
+        means();
+        sample.forEach(m -> m.rank = score(m, t));
+        sample.stream().min(Comparator.comparingDouble(m -> m.rank)).ifPresent(m -> offer(t, m));
+        return !sample.isEmpty();
     }
 
     private boolean eligible(Machine m, Task t) {
-        if (!m.ready || m == t.avoid || m.suspect && !doubting || now < m.crowdedUntil) {
-            return false;
-        }
-        if (t.cls.needsKind() >= 0 && t.cls.needsKind() != m.kind) {
+        if (!m.ready || m == t.avoid || m.suspect || now < m.crowdedUntil
+            || now < m.classOut.getOrDefault(t.cls.name(), NEVER_OUT)[0]
+            || t.cls.needsKind() >= 0 && t.cls.needsKind() != m.kind
+            || t.keyBound() && !sameGroup(t.cls.keyScope(), m, t.mayHaveRunAt)) {
             return false;
         }
-        boolean bound = t.mayHaveRun && t.cls.effect() == Effect.KEYED;
-        if (bound && !sameGroup(t.cls.keyScope(), m, t.mayHaveRunAt)) {
-            return false;
-        }
-        boolean asBig = t.ask.cores() >= m.refusedCores || t.ask.memory() >= m.refusedMemory;
+        boolean asBig = t.asks[CORES] >= m.refused[CORES] || t.asks[MEMORY] >= m.refused[MEMORY];
         if (m.refusedAt >= m.readFrom && asBig) {
             return false; // guards against offering over and over on a reading older than the refusal
         }
@@ -537,124 +575,109 @@
         };
     }
 
-    private double coreUse() {
-        return useCores / useCoresOf;
-    }
-
-    private double memoryUse() {
-        return useMemory / useMemoryOf;
-    }
-
     /** Acceptance goes by what is asked for; service by what is used. */
     private boolean hasRoom(Machine m, Task t) {
-        if (!(m.cores > 0) || !(m.memory > 0)) {
-            return false;
-        }
-        double cores = t.ask.cores();
-        double memory = t.ask.memory();
-        for (Change c : m.uncovered) {
-            cores += c.cores();
-            memory += c.memory();
-        }
-        double countC = settings.countsUsed() ? HOPE * coreUse() : 1;
-        double countM = settings.countsUsed() ? HOPE * memoryUse() : 1;
         double open = 1 - KEPT_FOR_WORTH * clamp(1 - 1.5 * t.cls.worth() / mostWorth); // near equals share
-        if (cores + m.lastCores / countC > open * settings.acceptCores() * m.cores + 1e-9
-            || memory + m.lastMemory / countM > open * settings.acceptMemory() * m.memory + 1e-9) {
-            return false;
+        for (int r = CORES; r <= MEMORY && m.sized(); r++) {
+            double asked = m.last[r] / (settings.countsUsed() ? HOPE * use[r] / useOf[r] : 1);
+            double accepts = r == CORES ? settings.acceptCores() : settings.acceptMemory();
+            if (t.asks[r] + m.uncoveredSum[r] + asked > open * accepts * m.size[r] + 1e-9
+                || used(m, t, r) - (m.heard() ? 0 : mean[r]) > (r == CORES ? calm : MEMORY_FULL)) {
+                return false;
+            }
         }
-        return usedCores(m, t, null) <= calm && usedMemory(m, t, null) <= 0.95;
+        return m.sized();
     }
 
-    private double usedCores(Machine m, Task t, double[] mean) {
-        double own = t.ask.cores();
-        for (Change c : m.uncovered) {
-            own += c.cores();
-        }
-        double base = m.busyFilter.heard() ? m.busyFilter.value() : m.coreFilter.heard() || mean == null
-            ? m.coreFilter.value() * (settings.countsUsed() ? 1 : coreUse()) : mean[0];
-        return base + own * coreUse() / m.cores;
+    /** The part of the machine in use with the task there. */
+    private double used(Machine m, Task t, int r) {
+        return (m.heard() ? figure(m, r) : mean[r])
+            + (t.asks[r] + m.uncoveredSum[r]) * use[r] / useOf[r] / m.size[r];
     }
 
-    private double usedMemory(Machine m, Task t, double[] mean) {
-        double own = t.ask.memory();
-        for (Change c : m.uncovered) {
-            own += c.memory();
-        }
-        double base = m.memoryFilter.heard() || mean == null
-            ? m.memoryFilter.value() * (settings.countsUsed() ? 1 : memoryUse()) : mean[1];
-        return base + own * memoryUse() / m.memory;
+    private double figure(Machine m, int r) {
+        return r == CORES && m.figures[BUSY].heard ? m.figures[BUSY].value()
+            : m.figures[r].value() * (settings.countsUsed() ? 1 : use[r] / useOf[r]);
     }
 
-    /** The mean figures of the machines heard from, for those never heard from. */
-    private double[] means() {
-        double[] mean = new double[3];
+    /** The mean figures of the machines heard from, for those never heard from; fresh enough for a while. */
+    private void means() {
+        if (now - meanAt < (many() ? RETRY : 1)) {
+            return;
+        }
+        meanAt = now;
+        mean = new double[4];
         int n = 0;
-        for (Machine m : machines.values()) {
-            if (m.ready && m.coreFilter.heard()) {
+        for (Machine m : ready) {
+            if (m.heard()) {
                 n++;
-                mean[0] += m.busyFilter.heard() ? m.busyFilter.value()
-                    : m.coreFilter.value() * (settings.countsUsed() ? 1 : coreUse());
-                mean[1] += m.memoryFilter.value() * (settings.countsUsed() ? 1 : memoryUse());
-                mean[2] += m.queueFilter.value();
+                mean[CORES] += figure(m, CORES);
+                mean[MEMORY] += figure(m, MEMORY);
+                mean[QUEUE] += m.figures[QUEUE].value();
             }
         }
         for (int i = 0; i < mean.length; i++) {
             mean[i] /= Math.max(1, n);
         }
-        return mean;
     }
 
-    private double score(Machine m, Task t, double[] mean) {
-        double cores = usedCores(m, t, mean);
-        double memory = usedMemory(m, t, mean);
+    private double score(Machine m, Task t) {
+        double cores = used(m, t, CORES);
+        double memory = used(m, t, MEMORY);
         double over = clamp((cores - calm + 0.1) / 0.3) + clamp((memory - MEMORY_CALM) / 0.15);
         double lean = settings.prices().fleet() > 0 ? 1 - Math.max(cores, memory)
             : SPREAD_LEAN * Math.max(cores, memory);
-        double queue = Math.max(m.queueFilter.heard() ? m.queueFilter.value() : mean[2], m.startsWaiting);
-        double silent = m.unanswered.isEmpty() ? 0
-            : clamp((now - m.unanswered.values().iterator().next()) / (2 * waitMean[1] + waitSpread[1]) - 1);
-        return W_OVER * over + W_LEAN * lean + W_START * newProgram(m, t) + W_QUEUE * clamp(queue / 20)
-            + W_SILENT * silent + settings.prices().crossZone() * (inZone(m) ? 0 : 1);
-    }
-
-    private boolean inZone(Machine m) {
-        return m.entry.zone().equals(settings.zone());
+        double told = m.figures[QUEUE].heard ? m.figures[QUEUE].value() : mean[QUEUE];
+        double queue = clamp(Math.max(told, m.startsWaiting) / 20);
+        return W_OVER * over + W_LEAN * lean + W_START * newProgram(m, t) + W_QUEUE * queue
+            + settings.prices().crossZone() * (m.entry.zone().equals(settings.zone()) ? 0 : 1);
     }
 
     private static double clamp(double x) {
         return x < 0 ? 0 : Math.min(x, 1);
     }
 
-    /** 0 where own tasks tell that the program runs, 1 where it is likely to be set up anew. */
+    /** 0 where own tasks tell that the program runs, little at a home, 1 where it likely has to be set up. */
     private double newProgram(Machine m, Task t) {
-        if (m.services.getOrDefault(t.ask.service(), 0) > 0) {
+        Own there = own.getOrDefault(t.ask.service(), Map.of()).get(m);
+        if (there != null && there.tasks > 0) {
             return 0;
         }
-        Long held = m.lastHeld.get(t.ask.service());
-        return held == null ? 1 : clamp((now - held) / (double) KEPT);
+        int home = t.homes.indexOf(m);
+        double held = there == null ? 1 : clamp((now - there.last) / (double) KEPT);
+        return home < 0 ? held : Math.min(held, HOME_FIRST + HOME_NEXT * home);
     }
 
+    /**
+     * Where a placer's share of a cold machine's budget is under one offer, it comes by chance, drawn anew
+     * for each window and machine: at half the part, for two windows' draws may be spent within one.
+     */
     private boolean withinCold(Machine m) {
-        while (!m.offers.isEmpty() && m.offers.peekFirst() <= now - settings.rules().coldWindow()) {
+        long window = Math.max(1, settings.rules().coldWindow());
+        while (!m.offers.isEmpty() && m.offers.peekFirst() <= now - window) {
             m.offers.removeFirst();
         }
-        double share = Math.max(1, COLD_PART * settings.rules().coldOffers() / settings.instances());
-        return now >= m.coldUntil + settings.rules().coldWindow() || m.offers.size() + 1 <= share;
+        if (now >= m.coldUntil + window) {
+            return true;
+        }
+        double share = COLD_PART * settings.rules().coldOffers() / settings.instances();
+        if (share >= 1) {
+            return m.offers.size() + 1 <= share;
+        }
+        long turn = Math.floorDiv(now + Math.floorMod(settings.seed(), window), window);
+        long draw = settings.seed() ^ (long) m.id.hashCode() << 20 ^ turn;
+        return m.offers.isEmpty() && random(draw) < share / 2;
     }
 
     /** Counted over the machines as listed now: a task may be handed over before its machine is listed. */
     private boolean withinSpread(Machine m, Task t) {
-        if (t.cls.spread() == Scope.NONE) {
-            return true;
-        }
         int there = 0;
-        for (Machine other : machines.values()) {
-            if (other == m || sameGroup(t.cls.spread(), m, other)) {
-                there += other.services.getOrDefault(t.ask.service(), 0);
+        if (t.cls.spread() != Scope.NONE) {
+            for (Map.Entry<Machine, Own> o : own.getOrDefault(t.ask.service(), Map.of()).entrySet()) {
+                there += o.getKey() == m || sameGroup(t.cls.spread(), m, o.getKey()) ? o.getValue().tasks : 0;
             }
         }
-        return there < t.cls.spreadMost();
+        return t.cls.spread() == Scope.NONE || there < t.cls.spreadMost();
     }
 
     private void offer(Task t, Machine m) {
@@ -674,33 +697,31 @@
         t.attempts++;
         t.firstStart = w == 1;
         bind(m, t);
-        m.unanswered.put(t.ask.id(), now);
+        m.changed(now, t, 1);
         m.offers.addLast(now);
         actions.accept(new Offer(t.ask.id(), m.id, Math.max(1, Math.min(timeout, left))));
     }
 
     private void bind(Machine m, Task t) {
         m.startsWaiting += t.starts;
-        m.services.merge(t.ask.service(), 1, Integer::sum);
-        m.uncovered.addLast(new Change(now, t.ask.cores(), t.ask.memory()));
+        own.computeIfAbsent(t.ask.service(), service -> new LinkedHashMap<>())
+            .computeIfAbsent(m, there -> new Own()).tasks++;
     }
 
     /** Undoes a bind when its outcome is in. */
     private void release(Machine m, Task t, boolean held) {
         started(m, t);
-        m.unanswered.remove(t.ask.id());
-        if (m.services.merge(t.ask.service(), -1, Integer::sum) <= 0) {
-            m.services.remove(t.ask.service());
-            if (held) {
-                m.lastHeld.put(t.ask.service(), now);
-            }
-        }
-        m.uncovered.addLast(new Change(now, -t.ask.cores(), -t.ask.memory()));
+        Map<Machine, Own> at = own.get(t.ask.service());
+        at.get(m).tasks--;
+        at.get(m).last = held ? now : at.get(m).last;
+        at.values().removeIf(o -> o.tasks == 0 && o.last < now - KEPT);
+        m.changed(now, t, -1);
         if (held) {
-            m.refusedCores += t.ask.cores();
-            m.refusedMemory += t.ask.memory();
+            m.refused[CORES] += t.asks[CORES];
+            m.refused[MEMORY] += t.asks[MEMORY];
         }
-        use(t, -1, -1);
+        use(t, CORES, -1);
+        use(t, MEMORY, -1);
     }
 
     private void started(Machine m, Task t) {
@@ -716,8 +737,8 @@
         }
         t.placed = true;
         t.closed = true;
-        t.at.unanswered.remove(e.id());
         healthy(t.at);
+        t.at.classOut.remove(t.cls.name());
         waited(t, e.waited());
         if (settings.placedWhenRunning()) {
             started(t.at, t);
@@ -733,15 +754,17 @@
     private void healthy(Machine m) {
         m.suspect = false;
         m.suspectFor = 0;
-        backFromUnreachable(m);
+        m.answeredAt = now;
     }
 
-    /** A machine that was out of reach and answers again may have restarted before the list says so. */
-    private void backFromUnreachable(Machine m) {
-        if (m.unreachable) {
-            m.unreachable = false;
-            m.coldUntil = Math.max(m.coldUntil, now + settings.rules().rampTime());
-        }
+    /**
+     * Guards against a machine that leaves one class unanswered or turns it away while it serves the others:
+     * what other classes and probes see there proves nothing for it. Its own next answer does.
+     */
+    private void sitOut(Machine m, TaskClass cls) {
+        long[] out = m.classOut.computeIfAbsent(cls.name(), name -> new long[2]);
+        out[1] = Math.min(SUSPECT_MOST, Math.max(SUSPECT_LEAST, out[1] * 2));
+        out[0] = now + out[1];
     }
 
     private void suspect(Machine m, String why) {
@@ -751,6 +774,7 @@
         m.suspectFor = Math.min(SUSPECT_MOST, Math.max(SUSPECT_LEAST, m.suspectFor * 2));
         m.suspect = settings.limits().probes();
         m.suspectUntil = now + m.suspectFor;
+        suspects = true;
         if (!m.suspect) {
             m.crowdedUntil = m.suspectUntil; // without probes it comes back by a task
         }
@@ -800,8 +824,8 @@
                 }
                 if (e.reason() == Reason.NO_CORES || e.reason() == Reason.NO_MEMORY) {
                     m.refusedAt = now;
-                    m.refusedCores = e.reason() == Reason.NO_CORES ? t.ask.cores() : Double.MAX_VALUE;
-                    m.refusedMemory = e.reason() == Reason.NO_MEMORY ? t.ask.memory() : Double.MAX_VALUE;
+                    m.refused[CORES] = e.reason() == Reason.NO_CORES ? t.asks[CORES] : Double.MAX_VALUE;
+                    m.refused[MEMORY] = e.reason() == Reason.NO_MEMORY ? t.asks[MEMORY] : Double.MAX_VALUE;
                 } else if (e.reason() == Reason.OFFERS_WAIT) {
                     m.crowdedUntil = now + CROWDED_FOR;
                 } else {
@@ -811,12 +835,14 @@
             case TIMED_OUT -> {
                 t.avoid = m;
                 if (now - t.sentAt >= TIMEOUT_LEAST) {
-                    suspect(m, "an offer timed out");
+                    sitOut(m, t.cls);
+                    if (m.answeredAt < t.sentAt) {
+                        suspect(m, "an offer timed out");
+                    }
                 }
             }
             case UNREACHABLE -> {
                 t.avoid = m;
-                m.unreachable = true;
                 suspect(m, "out of reach");
             }
             case LOST -> {
@@ -852,15 +878,14 @@
         if (tasks.containsKey(e.ask().id())) {
             return;
         }
-        Task t = new Task(e.ask(), classOf(e.ask().taskClass()), now);
+        Task t = new Task(e.ask(), classes.getOrDefault(e.ask().taskClass(), settings.classes().get(0)), now);
         t.at = machines.computeIfAbsent(e.machine(), Machine::new);
         t.attempts = 1;
         t.out = true;
         t.placed = true;
         t.closed = true;
         tasks.put(e.ask().id(), t);
-        bind(t.at, t);
-        t.at.uncovered.removeLast(); // it ran before, so readings have it
+        bind(t.at, t); // no change: it ran before, so readings have it
     }
 
     private void noted(Noted e) {
@@ -869,26 +894,20 @@
             return;
         }
         switch (e.kind()) {
-            case RUNS -> {
-                    started(t.at, t);
-            }
-            case CORES_USED -> use(t, e.level(), t.usedMemory);
-            case MEMORY_USED -> use(t, t.usedCores, e.level());
-            case MACHINE_MEMORY -> t.at.memoryFilter.read(settings.countsUsed() ? e.level() : Double.NaN);
+            case RUNS -> started(t.at, t);
+            case CORES_USED -> use(t, CORES, e.level());
+            case MEMORY_USED -> use(t, MEMORY, e.level());
+            case MACHINE_MEMORY -> t.at.figures[MEMORY].read(settings.countsUsed() ? e.level() : Double.NaN);
             default -> { }
         }
     }
 
     /** Keeps the sums of what own tasks use and ask; below 0 means not known. */
-    private void use(Task t, double cores, double memory) {
-        if (!Double.isFinite(cores) || !Double.isFinite(memory)) {
-            return;
+    private void use(Task t, int r, double used) {
+        if (Double.isFinite(used)) {
+            use[r] += Math.max(0, used) - Math.max(0, t.used[r]);
+            useOf[r] += t.asks[r] * ((used >= 0 ? 1 : 0) - (t.used[r] >= 0 ? 1 : 0));
+            t.used[r] = used;
         }
-        useCores += Math.max(0, cores) - Math.max(0, t.usedCores);
-        useCoresOf += t.ask.cores() * ((cores >= 0 ? 1 : 0) - (t.usedCores >= 0 ? 1 : 0));
-        useMemory += Math.max(0, memory) - Math.max(0, t.usedMemory);
-        useMemoryOf += t.ask.memory() * ((memory >= 0 ? 1 : 0) - (t.usedMemory >= 0 ? 1 : 0));
-        t.usedCores = cores;
-        t.usedMemory = memory;
     }
 }
