A refusal without a reason, or a time-out, keeps the class away from that machine for longer

Change: such a refusal counts for the class alone, 2 s doubling to 16 s; one task that gets through does not end it. Also guards against a machine that fails one class in silence. Could harm where a start is handed back for a draining machine: the class then stays away for 2 s.

--- a/src/main/java/thornferry/Policy.java
+++ b/src/main/java/thornferry/Policy.java
@@ -68,6 +68,8 @@
     /** A machine that let an attempt time out sits out this long, doubling to the most. */
     private static final long SUSPECT_LEAST = 1 * SECOND;
     private static final long SUSPECT_MOST = 8 * SECOND;
+    private static final long CLASS_OUT_LEAST = 2 * SECOND; // likewise for one class, which no probe brings back
+    private static final long CLASS_OUT_MOST = 16 * SECOND;
     /**
      * Where readings count use, what is asked for is only inferred: so much is taken off it, since a refused
      * offer corrects a guess too low at once and nothing corrects one too high.
@@ -738,7 +740,6 @@
         t.placed = true;
         t.closed = true;
         healthy(t.at);
-        t.at.classOut.remove(t.cls.name());
         waited(t, e.waited());
         if (settings.placedWhenRunning()) {
             started(t.at, t);
@@ -759,11 +760,11 @@
 
     /**
      * Guards against a machine that leaves one class unanswered or turns it away while it serves the others:
-     * what other classes and probes see there proves nothing for it. Its own next answer does.
+     * what other classes and probes see there proves nothing for it, nor does one task that gets through.
      */
     private void sitOut(Machine m, TaskClass cls) {
-        long[] out = m.classOut.computeIfAbsent(cls.name(), name -> new long[2]);
-        out[1] = Math.min(SUSPECT_MOST, Math.max(SUSPECT_LEAST, out[1] * 2));
+        long[] out = m.classOut.computeIfAbsent(cls.name(), name -> new long[] {Long.MIN_VALUE / 2, 0});
+        out[1] = now > out[0] + CLASS_OUT_MOST ? CLASS_OUT_LEAST : Math.min(CLASS_OUT_MOST, out[1] * 2);
         out[0] = now + out[1];
     }
 
@@ -828,6 +829,8 @@
                     m.refused[MEMORY] = e.reason() == Reason.NO_MEMORY ? t.asks[MEMORY] : Double.MAX_VALUE;
                 } else if (e.reason() == Reason.OFFERS_WAIT) {
                     m.crowdedUntil = now + CROWDED_FOR;
+                } else if (e.reason() == Reason.NONE) {
+                    sitOut(m, t.cls); // not for want of room: a rate that is held down, or a start given back
                 } else {
                     t.avoid = m;
                 }
