--- a/src/main/java/thornferry/Policy.java
+++ b/src/main/java/thornferry/Policy.java
@@ -53,8 +53,8 @@
     private static final int HOMES = 4;
     private static final double HOME_FIRST = 0.1; // what a home counts as of a new program, each further one
     private static final double HOME_NEXT = 0.15;
-    /** Where placers are many and only probes tell, an ask waits so long for probes of so many homes. */
-    private static final int PROBED_HOMES = 3;
+    /** Where placers are many and readings old, an ask waits so long for probes of so many machines. */
+    private static final int PROBED = 3;
     private static final long PROBE_WAIT = 80 * MS;
     private static final long PROBE_FRESH = 400 * MS;
     /** Where machines outnumber placers: a period for each, longer where this placer has few asks. */
@@ -68,7 +68,7 @@
     /** A machine that let an attempt time out sits out this long, doubling to the most. */
     private static final long SUSPECT_LEAST = 1 * SECOND;
     private static final long SUSPECT_MOST = 8 * SECOND;
-    private static final long CLASS_OUT_LEAST = 2 * SECOND; // likewise for one class, which no probe brings back
+    private static final long CLASS_OUT_LEAST = 2 * SECOND; // likewise one class, which no probe brings back
     private static final long CLASS_OUT_MOST = 16 * SECOND;
     /**
      * Where readings count use, what is asked for is only inferred: so much is taken off it, since a refused
@@ -136,14 +136,13 @@
         double startsWaiting; // own, in starts with the program present
         long suspectUntil;
         long suspectFor;
-        boolean suspect;
+        boolean suspect, unreachable;
         long answeredAt = Long.MIN_VALUE / 2;
         final Map<String, long[]> classOut = new HashMap<>(); // until when it gets none of it, for how long
         long coldUntil = Long.MIN_VALUE;
         final ArrayDeque<Long> offers = new ArrayDeque<>(); // within the cold window
         long refusedAt = Long.MIN_VALUE; // a refusal tells of room: less than this, but for own tasks since
         final double[] refused = {Double.MAX_VALUE, Double.MAX_VALUE};
-        long crowdedUntil;
         long heardAt = Long.MIN_VALUE / 2; // when the last reading or probe came
         boolean probing;
         double rank; // among the homes or the sample of one task
@@ -202,7 +201,9 @@
         long mayHaveRunFrom;
         Machine avoid;
         List<Machine> homes = List.of();
-        long probesUntil; // 0 before any
+        List<Machine> probed = List.of(); // before the attempt of this number, until this time
+        int probedFor = -1;
+        long probesUntil;
         double starts;
         boolean firstStart;
         final double[] asks;
@@ -348,8 +349,8 @@
             m.coldUntil = Math.max(m.coldUntil, entry.started() + settings.rules().rampTime());
         }
         if (restarted) {
-            m.suspect = false;
-            m.suspectFor = 0;
+            m.suspect = m.unreachable = false;
+            m.suspectFor = m.suspectUntil = 0;
             m.coveredTo(Long.MAX_VALUE);
             m.classOut.clear();
             own.values().forEach(at -> at.computeIfPresent(m, (k, there) -> there.tasks == 0 ? null : there));
@@ -429,7 +430,7 @@
             m.answeredAt = now;
             report(m, e.report());
             if (m.suspect && now >= m.suspectUntil) {
-                m.suspect = false;
+                healthy(m);
             }
         } else if (m.suspect) {
             m.suspectUntil = now + (many() ? SUSPECT_MOST / 2 : SUSPECT_LEAST / 2);
@@ -461,9 +462,7 @@
         if (many() && !settings.oneHome()) {
             t.homes = homes(t);
         }
-        if (probesFirst(t) || !place(t)) {
-            hold(t);
-        }
+        placeOrHold(t);
     }
 
     /** Where the service's program is expected: placers that list the same machines come to the same. */
@@ -479,27 +478,33 @@
         return new SplittableRandom(seed).nextDouble();
     }
 
-    /** Guards against old readings where placers are many and only probes tell: asks the homes first. */
-    private boolean probesFirst(Task t) {
-        if (!many() || settings.reports() != Reports.ON_PROBE || settings.listShowsRoom() || t.attempts > 0) {
+    /**
+     * Guards against old readings where placers are many and machines tell only when probed: before the first
+     * offer its homes are, where the list shows no room; where it does, the best few after a failed offer.
+     */
+    private boolean waitsForProbes(Task t, List<Machine> sample) {
+        boolean probes = settings.reports() == Reports.ON_PROBE && t.attempts > 0 == settings.listShowsRoom();
+        if (!probes || !many()) {
             return false;
         }
-        boolean waits = false;
-        for (Machine m : t.homes.subList(0, Math.min(PROBED_HOMES, t.homes.size()))) {
-            if (m.ready && !m.suspect && t.probesUntil == 0 && now - m.heardAt > PROBE_FRESH) {
-                probe(m);
-            }
-            waits |= m.probing;
+        List<Machine> of = t.attempts == 0 ? t.homes : sample;
+        if (t.probedFor != t.attempts && !of.isEmpty()) {
+            t.probedFor = t.attempts;
+            t.probesUntil = now + PROBE_WAIT;
+            t.probed = new ArrayList<>(of.subList(0, Math.min(PROBED, of.size())));
+            t.probed.stream().filter(m -> m.readFrom < now - REPORT_LAG - PROBE_FRESH).forEach(this::probe);
+        } else if (t.attempts > 0 && t.probed.stream().anyMatch(m -> !m.probing && sample.contains(m))) {
+            sample.removeIf(m -> m.probing || !t.probed.contains(m));
         }
-        t.probesUntil = t.probesUntil == 0 ? now + PROBE_WAIT : t.probesUntil;
-        return waits && now < t.probesUntil;
+        return now < t.probesUntil && t.probed.stream().anyMatch(m -> m.probing);
     }
 
-    /** Guards against patience so short that no tick comes before it ends. */
-    private void hold(Task t) {
-        if (now >= t.deadline - ANSWER_EARLY) {
+    /** Offers, holds, or answers at once where patience is so short that no tick comes before it ends. */
+    private void placeOrHold(Task t) {
+        boolean late = now >= t.deadline - ANSWER_EARLY;
+        if (cannotTryAgain(t) || now >= t.deadline - TICK || !place(t) && late) {
             answerNo(t);
-        } else {
+        } else if (!t.out) {
             held.add(t);
         }
     }
@@ -508,20 +513,17 @@
         if (held.isEmpty()) {
             return;
         }
-        boolean look = news || now - lastRetry >= RETRY;
+        boolean look = news || now - lastRetry >= (many() ? RETRY : TICK);
         lastRetry = look ? now : lastRetry;
         news = false;
         List<Task> waiting = new ArrayList<>(held);
         held.clear();
         waiting.sort(Comparator.comparingDouble(t -> -t.cls.worth()));
         for (Task t : waiting) {
-            if (t.closed) {
-                continue;
-            }
-            if (now >= t.deadline - ANSWER_EARLY || cannotTryAgain(t)) {
-                answerNo(t);
-            } else if (probesFirst(t) || !look || !place(t)) {
-                hold(t);
+            if (!t.closed && (look || now >= t.deadline - ANSWER_EARLY)) {
+                placeOrHold(t);
+            } else if (!t.closed) {
+                held.add(t);
             }
         }
     }
@@ -533,29 +535,33 @@
 
     /** Offers the task to a machine if any will do; false if it has to wait. */
     private boolean place(Task t) {
-        Set<Machine> sample = new LinkedHashSet<>();
-        for (Machine m : own.getOrDefault(t.ask.service(), Map.of()).keySet()) {
-            if (many() && eligible(m, t)) {
-                sample.add(m); // the program is there, and a sample of a large fleet would hardly draw it
-            }
-        }
-        t.homes.stream().filter(m -> eligible(m, t)).forEach(sample::add);
-        int drawn = (int) Math.ceil(SAMPLE_FACTOR * Math.sqrt(ready.size()));
-        for (int i = 0; i < ready.size() && drawn > 0; i++) { // drawn until enough are eligible
-            Collections.swap(ready, i, i + random.nextInt(ready.size() - i));
-            if (eligible(ready.get(i), t)) {
-                sample.add(ready.get(i));
-                drawn--;
-            }
+        List<Machine> fit = new ArrayList<>(ready);
+        fit.removeIf(m -> !eligible(m, t));
+        Set<Machine> sample = new LinkedHashSet<>(t.homes);
+        sample.addAll(t.probed);
+        if (many()) { // where the program is: a sample of a large fleet would hardly draw it
+            sample.addAll(own.getOrDefault(t.ask.service(), Map.of()).keySet());
+        }
+        sample.retainAll(fit);
+        int drawn = (int) Math.min(fit.size(),
+            Math.ceil(SAMPLE_FACTOR * Math.sqrt(many() ? ready.size() : fit.size())));
+        for (int i = 0; i < drawn; i++) {
+            Collections.swap(fit, i, i + random.nextInt(fit.size() - i));
+            sample.add(fit.get(i));
         }
         means();
         sample.forEach(m -> m.rank = score(m, t));
-        sample.stream().min(Comparator.comparingDouble(m -> m.rank)).ifPresent(m -> offer(t, m));
-        return !sample.isEmpty();
+        List<Machine> ranked = new ArrayList<>(sample);
+        ranked.sort(Comparator.comparingDouble(m -> m.rank));
+        if (waitsForProbes(t, ranked) || ranked.isEmpty()) {
+            return false;
+        }
+        offer(t, ranked.get(0));
+        return true;
     }
 
     private boolean eligible(Machine m, Task t) {
-        if (!m.ready || m == t.avoid || m.suspect || now < m.crowdedUntil
+        if (!m.ready || m == t.avoid || m.suspect || now < m.suspectUntil
             || now < m.classOut.getOrDefault(t.cls.name(), NEVER_OUT)[0]
             || t.cls.needsKind() >= 0 && t.cls.needsKind() != m.kind
             || t.keyBound() && !sameGroup(t.cls.keyScope(), m, t.mayHaveRunAt)) {
@@ -752,8 +758,11 @@
         waitMean[w] += 0.05 * (wait - waitMean[w]);
     }
 
+    /** A machine that was out of reach and answers again may have restarted before the list says so. */
     private void healthy(Machine m) {
-        m.suspect = false;
+        m.coldUntil = m.unreachable ? Math.max(m.coldUntil, now + settings.rules().rampTime()) : m.coldUntil;
+        m.suspectUntil = m.suspect ? 0 : m.suspectUntil; // one that lets too many wait is no suspect
+        m.suspect = m.unreachable = false;
         m.suspectFor = 0;
         m.answeredAt = now;
     }
@@ -773,12 +782,9 @@
             return;
         }
         m.suspectFor = Math.min(SUSPECT_MOST, Math.max(SUSPECT_LEAST, m.suspectFor * 2));
-        m.suspect = settings.limits().probes();
+        m.suspect = settings.limits().probes(); // without them time alone brings it back
         m.suspectUntil = now + m.suspectFor;
         suspects = true;
-        if (!m.suspect) {
-            m.crowdedUntil = m.suspectUntil; // without probes it comes back by a task
-        }
         actions.accept(new Log("machine " + m.id + " sits out: " + why));
     }
 
@@ -808,52 +814,42 @@
             t.mayHaveRunFrom = t.sentAt;
         }
         boolean copyStands = e.reason() == Reason.NOT_HERE && t.mayHaveRun;
-        if (copyStands || cannotTryAgain(t) || now >= t.deadline - ANSWER_EARLY) {
+        if (copyStands) {
             answerNo(t);
-        } else if (!place(t)) {
-            hold(t);
+        } else {
+            placeOrHold(t);
         }
     }
 
     /** What the outcome of an attempt that was never placed tells of the machine. */
     private void judge(Machine m, Task t, Ended e) {
-        switch (e.outcome()) {
-            case REFUSED -> {
-                healthy(m);
-                if (!settings.placedWhenRunning()) {
-                    waited(t, e.waited());
-                }
-                if (e.reason() == Reason.NO_CORES || e.reason() == Reason.NO_MEMORY) {
-                    m.refusedAt = now;
-                    m.refused[CORES] = e.reason() == Reason.NO_CORES ? t.asks[CORES] : Double.MAX_VALUE;
-                    m.refused[MEMORY] = e.reason() == Reason.NO_MEMORY ? t.asks[MEMORY] : Double.MAX_VALUE;
-                } else if (e.reason() == Reason.OFFERS_WAIT) {
-                    m.crowdedUntil = now + CROWDED_FOR;
-                } else if (e.reason() == Reason.NONE) {
-                    sitOut(m, t.cls); // not for want of room: a rate that is held down, or a start given back
-                } else {
-                    t.avoid = m;
-                }
-            }
-            case TIMED_OUT -> {
-                t.avoid = m;
-                if (now - t.sentAt >= TIMEOUT_LEAST) {
-                    sitOut(m, t.cls);
-                    if (m.answeredAt < t.sentAt) {
-                        suspect(m, "an offer timed out");
-                    }
-                }
-            }
-            case UNREACHABLE -> {
-                t.avoid = m;
-                suspect(m, "out of reach");
+        boolean cores = e.reason() == Reason.NO_CORES;
+        if (e.outcome() == Outcome.REFUSED) {
+            healthy(m);
+            if (!settings.placedWhenRunning()) {
+                waited(t, e.waited());
             }
-            case LOST -> {
-                t.avoid = m;
-                suspect(m, "an answer broke off");
+            if (cores || e.reason() == Reason.NO_MEMORY) {
+                m.refusedAt = now;
+                m.refused[CORES] = cores ? t.asks[CORES] : Double.MAX_VALUE;
+                m.refused[MEMORY] = cores ? Double.MAX_VALUE : t.asks[MEMORY];
+            } else if (e.reason() == Reason.OFFERS_WAIT) {
+                m.suspectUntil = now + CROWDED_FOR;
+            } else if (e.reason() == Reason.NONE) {
+                sitOut(m, t.cls); // not for want of room: a rate that is held down, or a start given back
             }
-            case ERROR -> t.avoid = m;
-            default -> { }
+        }
+        boolean room = e.outcome() == Outcome.REFUSED && e.reason() != Reason.NOT_HERE;
+        t.avoid = room ? t.avoid : m;
+        boolean silent = e.outcome() == Outcome.TIMED_OUT && now - t.sentAt >= TIMEOUT_LEAST;
+        if (silent && (many() || m.answeredAt > t.sentAt)) {
+            sitOut(m, t.cls);
+        }
+        m.unreachable |= e.outcome() == Outcome.UNREACHABLE;
+        if (silent && (!many() || m.answeredAt < t.sentAt) || e.outcome() == Outcome.LOST
+            || e.outcome() == Outcome.UNREACHABLE) {
+            suspect(m, silent ? "an offer timed out"
+                : e.outcome() == Outcome.LOST ? "an answer broke off" : "out of reach");
         }
     }
 
