Seven homes, weighing three times as much where they tell; tests of large fleets

Tests: homes agree among seeds and give way, probes before binding, waking, class trouble, crowded machines, and streams of 60 to 400 instances against the cold budget.

--- a/src/main/java/thornferry/Policy.java
+++ b/src/main/java/thornferry/Policy.java
@@ -50,9 +50,10 @@
     /** A machine keeps a program about so long after its last task here. */
     private static final long KEPT = 8 * SECOND;
     /** Where placers are many: the machines that a service's program is expected on, by a hash all share. */
-    private static final int HOMES = 4;
+    private static final int HOMES = 7;
     private static final double HOME_FIRST = 0.1; // what a home counts as of a new program, each further one
-    private static final double HOME_NEXT = 0.15;
+    private static final double HOME_NEXT = 0.12;
+    private static final double HOME_WEIGHT = 3.0; // times W_START there: only together do homes hold
     /** Where placers are many and readings old, an ask waits so long for probes of so many machines. */
     private static final int PROBED = 3;
     private static final long PROBE_WAIT = 80 * MS;
@@ -637,7 +638,8 @@
             : SPREAD_LEAN * Math.max(cores, memory);
         double told = m.figures[QUEUE].heard ? m.figures[QUEUE].value() : mean[QUEUE];
         double queue = clamp(Math.max(told, m.startsWaiting) / 20);
-        return W_OVER * over + W_LEAN * lean + W_START * newProgram(m, t) + W_QUEUE * queue
+        double start = W_START * (t.homes.isEmpty() ? 1 : HOME_WEIGHT) * newProgram(m, t);
+        return W_OVER * over + W_LEAN * lean + start + W_QUEUE * queue
             + settings.prices().crossZone() * (m.entry.zone().equals(settings.zone()) ? 0 : 1);
     }
 
--- a/src/test/java/thornferry/Fixtures.java
+++ b/src/test/java/thornferry/Fixtures.java
@@ -14,6 +14,7 @@
     Reports reports = Reports.NONE;
     List<String> reportNames = List.of("x0", "x1");
     boolean countsUsed;
+    boolean listsRoom = true;
     boolean mustAsk;
     boolean running;
     double fleetPrice;
@@ -35,7 +36,7 @@
 
     Settings settings() {
         return new Settings(seed, 0, instances, "a", classes, List.of(new MachineKind("std", 20, 40)), List.of(),
-            reports, reportNames, countsUsed, true, mustAsk, running, false, false, false, 1, 1, 1, 2, 0.1,
+            reports, reportNames, countsUsed, listsRoom, mustAsk, running, false, false, false, 1, 1, 1, 2, 0.1,
             3 * SECOND, new Prices(fleetPrice, 0.08, 0.03, 0, 0.003, 0.004, 0.02, 2),
             new Rules(8 * MS, 500 * MS, 10 * SECOND, 0.25, 16 * SECOND, 2, 3 * SECOND, coldOffers),
             new Limits(probes, true, true, false, attempts, 3 * SECOND));
@@ -75,6 +76,7 @@
         final List<Action> actions = new ArrayList<>();
         final List<Long> timers = new ArrayList<>();
         long now = 1_000 * SECOND;
+        int fired;
 
         Script(Fixtures fixtures) {
             module = new Policy(fixtures.settings());
@@ -110,6 +112,7 @@
                 }
                 timers.remove(due);
                 now = due;
+                fired++;
                 led.addAll(send(new Timer(0)));
             }
             now = end;
--- a/src/test/java/thornferry/PolicyTest.java
+++ b/src/test/java/thornferry/PolicyTest.java
@@ -305,6 +305,117 @@
         assertTrue(s.pass(500 * MS).contains(new Subscribe(true)));
     }
 
+    // ---- many placers ----
+
+    private static Asked ofService(String id, String service) {
+        return new Asked(new Ask(id, "safe", null, "t-" + id, 8 * SECOND, 0, service, 1, 1, false));
+    }
+
+    private MachineEntry[] fleet(int size) {
+        return java.util.stream.IntStream.range(0, size).mapToObj(i -> ready("m" + i, "a", 15))
+            .toArray(MachineEntry[]::new);
+    }
+
+    @Test
+    void placersThatOutnumberMachinesBringAServiceToTheSameMachine() {
+        f.instances = 200;
+        Set<String> chosen = new HashSet<>();
+        Set<String> others = new HashSet<>();
+        for (int placer = 0; placer < 20; placer++) {
+            f.seed = placer;
+            Script s = with(fleet(40));
+            chosen.add(s.offer(ofService("r1", "one")).machine());
+            others.add(s.offer(ofService("r2", "s" + placer)).machine());
+        }
+        assertEquals(1, chosen.size(), "no seed decides where a service is at home");
+        assertTrue(others.size() > 8, "services spread over the fleet");
+    }
+
+    @Test
+    void aFullHomeGivesWayToTheNext() {
+        f.instances = 200;
+        Script s = with(fleet(40));
+        String home = s.offer(ofService("r1", "one")).machine();
+        s.pass(4 * SECOND);
+        s.send(delta(ready(home, "a", 0)));
+        f.seed = 99;
+        Script t = with(fleet(40));
+        t.send(delta(ready(home, "a", 0)));
+        String next = s.offer(ofService("r2", "one")).machine();
+        assertNotEquals(home, next);
+        assertEquals(next, t.offer(ofService("r3", "one")).machine());
+    }
+
+    @Test
+    void whereOnlyProbesTellAnAskOfManyPlacersWaitsForItsHomes() {
+        f.instances = 200;
+        f.reports = Reports.ON_PROBE;
+        f.listsRoom = false;
+        Script s = with(fleet(40));
+        List<Action> led = s.send(ofService("r1", "one"));
+        assertEquals(3, led.stream().filter(Probe.class::isInstance).count());
+        assertTrue(led.stream().noneMatch(Offer.class::isInstance));
+        Offer offer = null;
+        for (Action a : led) {
+            offer = s.offer(new Probed(((Probe) a).machine(), true, MS, new double[] {15, 30}));
+        }
+        assertNotNull(offer, "bound once all have answered");
+        Script silent = with(fleet(40));
+        silent.send(ofService("r1", "one"));
+        assertTrue(silent.pass(200 * MS).stream().anyMatch(Offer.class::isInstance), "not held by silence");
+    }
+
+    @Test
+    void idlePlacersOfALargeFleetHardlyWake() {
+        f.instances = 200;
+        f.reports = Reports.ON_PROBE;
+        Script s = with(fleet(40));
+        int before = s.fired;
+        assertTrue(s.pass(20 * SECOND).isEmpty(), "no probes without an ask");
+        assertTrue(s.fired - before <= 220, s.fired - before + " timers in 20 s");
+    }
+
+    @Test
+    void aRefusalWithoutAReasonKeepsOnlyThatClassAway() {
+        Script s = with(ready("m1", "a", 18));
+        Offer first = s.offer(ask("r1", "safe", 1));
+        s.send(ended(first, 0, Outcome.REFUSED, Reason.NONE));
+        assertNull(s.offer(ask("r2", "safe", 1)), "held for the same class");
+        assertNotNull(s.offer(ask("r3", "keyed", 1)), "another class is served");
+        assertTrue(s.pass(3 * SECOND).stream().anyMatch(Offer.class::isInstance), "tried again in time");
+    }
+
+    @Test
+    void silenceTowardsOneClassKeepsTheMachineInUseForOthers() {
+        f.instances = 200;
+        Script s = with(ready("m1", "a", 18));
+        Offer silent = s.offer(ask("r1", "safe", 1));
+        Offer served = s.offer(ask("r2", "keyed", 1));
+        s.pass(SECOND);
+        s.send(new Placed("r2", 0, served.machine(), MS));
+        s.send(ended(silent, 0, Outcome.TIMED_OUT, Reason.NONE));
+        assertNull(s.offer(ask("r3", "safe", 1)));
+        assertNotNull(s.offer(ask("r4", "keyed", 1)));
+    }
+
+    @Test
+    void aMachineThatLetsTooManyWaitIsLeftAloneThoughItAnswersOthers() {
+        Script s = with(ready("m1", "a", 18));
+        Offer placed = s.offer(ask("r1", "safe", 1));
+        Offer crowded = s.offer(ask("r2", "safe", 1));
+        s.send(ended(crowded, 0, Outcome.REFUSED, Reason.OFFERS_WAIT));
+        s.send(new Placed("r1", 0, placed.machine(), MS));
+        assertNull(s.offer(ask("r3", "safe", 1)));
+        assertTrue(s.pass(300 * MS).stream().anyMatch(Offer.class::isInstance));
+    }
+
+    @Test
+    void aMachineNeverReadIsNotHeldToBeFull() {
+        f.reports = Reports.ON_PROBE;
+        Script s = with(ready("m1", "a", Double.NaN));
+        assertNotNull(s.offer(ask("r1", "safe", 1)));
+    }
+
     // ---- bad input ----
 
     @Test
--- a/src/test/java/thornferry/RulesTest.java
+++ b/src/test/java/thornferry/RulesTest.java
@@ -128,6 +128,46 @@
         s.now = end;
     }
 
+    /** Rule 4 over all placers: hundreds of instances, each with asks enough, and machines that just came up. */
+    @ParameterizedTest
+    @ValueSource(ints = {60, 200, 400})
+    void manyPlacersTogetherKeepTheColdBudget(int placers) {
+        Fixtures fixtures = new Fixtures();
+        fixtures.instances = placers;
+        fixtures.coldOffers = 48;
+        fixtures.attempts = 1000;
+        List<Script> scripts = new ArrayList<>();
+        List<Placement.MachineEntry> list = new ArrayList<>();
+        for (int m = 0; m < 12; m++) {
+            list.add(machine("m" + m, "a", MachineState.READY, 18, 1_000 * SECOND));
+        }
+        for (int i = 0; i < placers; i++) {
+            fixtures.seed = 1_000 + i * 7_919L;
+            scripts.add(new Script(fixtures));
+            scripts.get(i).send(new MachineList(1, ListKind.FULL, list));
+        }
+        java.util.Map<String, List<Long>> sends = new java.util.LinkedHashMap<>();
+        long ids = 0;
+        for (long at = 0; at < 15 * SECOND; at += 500 * MS) {
+            for (Script s : scripts) {
+                List<Action> led = new ArrayList<>(s.pass(500 * MS));
+                led.addAll(s.send(Fixtures.ask("r" + ids++, "safe", 0.01)));
+                for (Action a : led) {
+                    if (a instanceof Offer offer) {
+                        sends.computeIfAbsent(offer.machine(), m -> new ArrayList<>()).add(s.now);
+                    }
+                }
+            }
+        }
+        assertTrue(sends.size() == 12, "the machines are used");
+        for (List<Long> to : sends.values()) {
+            for (long from : to) {
+                long within = to.stream().filter(t -> t >= from && t < from + 3 * SECOND).count();
+                assertTrue(within <= 48, within + " offers within the window of a cold machine");
+            }
+        }
+    }
+
     // ---- the checker catches bad ones ----
 
     private final Fixtures f = new Fixtures();
