--- a/src/main/java/thornferry/Policy.java
+++ b/src/main/java/thornferry/Policy.java
@@ -238,7 +238,7 @@
     private double askRate; // own asks per second, smoothed
     private int asks; // since the last tick
     private long timerAt = Long.MAX_VALUE;
-    private boolean news, suspects;
+    private boolean news, suspects, doubting;
     private double[] mean = new double[4];
     private long meanAt = Long.MIN_VALUE / 2;
     private boolean subscribed;
@@ -536,6 +536,8 @@
 
     /** Offers the task to a machine if any will do; false if it has to wait. */
     private boolean place(Task t) {
+        // most look dead: more likely this placer's own link
+        doubting = suspects && ready.stream().filter(m -> m.suspect).count() * 2 > ready.size();
         List<Machine> fit = new ArrayList<>(ready);
         fit.removeIf(m -> !eligible(m, t));
         Set<Machine> sample = new LinkedHashSet<>(t.homes);
@@ -562,7 +564,7 @@
     }
 
     private boolean eligible(Machine m, Task t) {
-        if (!m.ready || m == t.avoid || m.suspect || now < m.suspectUntil
+        if (!m.ready || m == t.avoid || !doubting && m.suspect || !m.suspect && now < m.suspectUntil
             || now < m.classOut.getOrDefault(t.cls.name(), NEVER_OUT)[0]
             || t.cls.needsKind() >= 0 && t.cls.needsKind() != m.kind
             || t.keyBound() && !sameGroup(t.cls.keyScope(), m, t.mayHaveRunAt)) {
--- a/src/test/java/thornferry/PolicyTest.java
+++ b/src/test/java/thornferry/PolicyTest.java
@@ -243,6 +243,22 @@
         assertEquals("m1", s.offer(ask("r3", "safe", 1)).machine());
     }
 
+    @Test
+    void aPlacerDoubtsItsOwnLinkWhenMostMachinesLookDead() {
+        Script s = with(ready("m1", "a", 18), ready("m2", "a", 18), ready("m3", "a", 18));
+        for (int i = 0; i < 2; i++) {
+            s.send(ended(s.offer(ask("r" + i, "safe", 1)), 0, Outcome.LOST, Reason.NONE));
+        }
+        Set<String> used = new HashSet<>();
+        for (int i = 10; i < 22; i++) {
+            Offer offer = s.offer(ask("r" + i, "safe", 3));
+            if (offer != null) {
+                used.add(offer.machine());
+            }
+        }
+        assertEquals(3, used.size(), "suspects are used again");
+    }
+
     @Test
     void aRefusalTellsOfRoomUntilANewerReading() {
         Script s = with(ready("m1", "a", 18));
