--- a/src/test/java/thornferry/PolicyTest.java
+++ b/src/test/java/thornferry/PolicyTest.java
@@ -459,4 +459,38 @@
         s.send(new OwnerLeft("r9"));
         s.pass(SECOND);
     }
+
+    @Test
+    void oddButLegalInputNeverOffersWrongly() {
+        f.instances = 500; // more than offers in the cold budget
+        f.coldOffers = 3;
+        f.reports = Reports.ON_PROBE;
+        Script s = new Script(f);
+        MachineEntry[] many = new MachineEntry[400];
+        for (int i = 0; i < many.length; i++) {
+            many[i] = machine("m" + i, i % 2 == 0 ? "a" : "b", MachineState.READY, 18, i % 3 == 0 ? s.now : 0);
+        }
+        s.send(full(many));
+        s.send(delta(new MachineEntry("odd", "a", "a kind never listed", 9, MachineState.READY, 5, 5, 1, 0)));
+        Offer offer = s.offer(ask("r1", "keyed", 1));
+        assertNotNull(offer);
+        assertNotEquals("odd", offer.machine(), "its size is not known");
+        List<MachineEntry> left = new java.util.ArrayList<>();
+        for (MachineEntry e : many) {
+            if (e.zone().equals("b") && !e.machine().equals(offer.machine())) {
+                left.add(e);
+            }
+        }
+        s.send(new MachineList(9, ListKind.FULL, left)); // zone a vanishes, and the machine asked with it
+        s.pass(SECOND);
+        s.send(ended(offer, 0, Outcome.TIMED_OUT, Reason.NONE)); // no longer listed
+        for (int i = 10; i < 60; i++) {
+            Offer next = s.offer(ask("r" + i, "safe", 1));
+            assertTrue(next == null || left.stream().anyMatch(e -> e.machine().equals(next.machine())));
+            if (next != null) {
+                s.send(ended(next, 0, Outcome.REFUSED, Reason.NONE));
+            }
+        }
+        s.pass(9 * SECOND);
+    }
 }
