--- a/agent/src/main/java/thornferry/agent/NodeAgent.java
+++ b/agent/src/main/java/thornferry/agent/NodeAgent.java
@@ -3,7 +3,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.ssl.SslContext;
 import java.net.SocketAddress;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -24,6 +23,7 @@
 import thornferry.protocol.v1.Order;
 import thornferry.protocol.v1.ProbeReply;
 import thornferry.protocol.v1.Register;
+import thornferry.protocol.v1.Task;
 
 /**
  * One node: a connection to each placer of its list, kept up by dialling again, around a {@link NodeModel}. The node
@@ -42,15 +42,9 @@
     private static final Logger LOG = LoggerFactory.getLogger(NodeAgent.class);
     private static final long REDIAL_LEAST_MS = 50;
     private static final long REDIAL_MOST_MS = 2_000;
-    /** Final answers are said again at a registration for so long, since some may not have arrived. */
-    private static final long RECENT = 30_000_000;
-    private static final int RECENT_MOST = 2_000;
-
-    private record Said(long at, Answer answer) { }
-
     private final class Dial implements ClientConnection.Listener {
         final SocketAddress placer;
-        final ArrayDeque<Said> recent = new ArrayDeque<>();
+        final Memory memory = new Memory();
         String name = "";
         ClientConnection connection;
         long wait = REDIAL_LEAST_MS;
@@ -75,12 +69,11 @@
 
         private void register(ClientConnection c) {
             long now = now();
-            recent.removeIf(s -> s.at() < now - RECENT);
             Register.Builder r = Register.newBuilder().setNode(shape.node()).setIncarnation(model.incarnation())
                 .setKind(shape.kind()).setZone(shape.zone()).setCell(shape.cell()).setCores(shape.cores())
                 .setMemory(shape.memory()).setUptimeMs(model.uptime(now) / 1_000).addAllHeld(model.inventory(name))
                 .setLoad(model.load());
-            recent.forEach(s -> r.addRecent(s.answer()));
+            memory.tell(now, r);
             c.sendBinary(Destinations.REGISTER, r.build());
             if (model.draining()) {
                 c.sendBinary(Destinations.DRAIN, Drain.newBuilder().setNode(shape.node()).setOn(true).build());
@@ -118,13 +111,6 @@
         }
 
         void say(Answer answer) {
-            if (answer.getKind() != Answer.Kind.ACCEPTED && answer.getKind() != Answer.Kind.RUNS
-                && answer.getKind() != Answer.Kind.USES) {
-                recent.add(new Said(now(), answer));
-                if (recent.size() > RECENT_MOST) {
-                    recent.removeFirst();
-                }
-            }
             if (connection != null && connection.open()) {
                 connection.sendBinary(Destinations.ANSWERS, answer);
             }
@@ -154,7 +140,7 @@
 
     NodeAgent(NodeShape shape, Behaviour behaviour, HallKeys keys, EventLoop loop, List<SocketAddress> placers,
               String login, String passcode, Heartbeat heartbeat, FrameLimits limits, long seed, Watcher watcher,
-              SslContext tls) {
+              SslContext tls, boolean warm) {
         this.tls = tls;
         this.shape = shape;
         this.behaviour = behaviour;
@@ -167,7 +153,7 @@
         this.seed = seed;
         this.random = new SplittableRandom(seed);
         this.watcher = watcher;
-        this.model = new NodeModel(shape, behaviour, keys, seed, now(), System.currentTimeMillis(), true);
+        this.model = new NodeModel(shape, behaviour, keys, seed, now(), System.currentTimeMillis(), warm);
         placers.forEach(p -> dials.add(new Dial(p)));
     }
 
@@ -199,6 +185,11 @@
             case PROBE -> from.connection.sendBinary(Destinations.PROBES, ProbeReply.newBuilder()
                 .setNode(shape.node()).setNumber(order.getProbe().getNumber()).setLoad(model.load()).build());
             case DRAIN -> model.drain(now, order.getDrain().getOn(), this::say);
+            case WELCOME -> {
+                from.name = order.getWelcome().getPlacer();
+                byName.put(from.name, from);
+                from.memory.keepFor(order.getWelcome().getRememberMs() * 1_000);
+            }
             default -> { } // an order of a later version: not understood, so not obeyed
         }
         afterwards();
@@ -213,8 +204,16 @@
             answer.setLoad(model.load());
         }
         Answer a = answer.build();
-        watcher.said(shape.node(), a);
         Dial to = byName.get(s.placer());
+        if (to != null && s.offer().hasTask() && over(s.kind())) {
+            Task task = s.offer().getTask();
+            to.memory.over(now(), a.toBuilder().setOwner(s.offer().getOwner()).setTask(task)
+                .setEffect(s.offer().getEffect()).build());
+        }
+        if (s.silent()) {
+            return;
+        }
+        watcher.said(shape.node(), a);
         boolean lost = answersLost > 0 && random.nextDouble() < answersLost
             && (s.kind() == Answer.Kind.ACCEPTED || s.kind() == Answer.Kind.RUNS);
         if (to != null && !lost) {
@@ -222,6 +221,10 @@
         }
     }
 
+    private static boolean over(Answer.Kind kind) {
+        return kind != Answer.Kind.ACCEPTED && kind != Answer.Kind.RUNS && kind != Answer.Kind.USES;
+    }
+
     private void afterwards() {
         if (model.fallen()) {
             LOG.atWarn().addKeyValue("node", shape.node()).log("pushed over while cold: down");
@@ -260,7 +263,7 @@
             dials.forEach(d -> {
                 ClientConnection c = d.connection;
                 d.connection = null;
-                d.recent.clear();
+                d.memory.clear();
                 if (c != null) {
                     c.cut();
                 }
--- a/agent/src/main/java/thornferry/agent/NodeModel.java
+++ b/agent/src/main/java/thornferry/agent/NodeModel.java
@@ -18,13 +18,18 @@
  * the same calls give the same answers. Times are microseconds.
  */
 public final class NodeModel {
-    /** What to tell the placer that offered the attempt. */
+    /**
+     * What to tell the placer that offered the attempt; {@code offer} is empty where the node does not hold it.
+     *
+     * @param silent the node works but says nothing: remembered, and not sent
+     */
     public record Say(String placer, String attempt, Answer.Kind kind, Answer.Reason reason, boolean ran,
-                      double coresUsed, double memoryUsed) { }
+                      double coresUsed, double memoryUsed, Offer offer, boolean silent) { }
 
     private enum State { QUEUED, WAITING, STARTING, RUNNING }
 
     private static final class Work {
+        final Offer offer;
         final String attempt;
         final String placer;
         final String owner;
@@ -36,6 +41,7 @@
         double memoryUsed;
 
         Work(Offer offer) {
+            this.offer = offer;
             attempt = offer.getAttempt();
             placer = offer.getPlacer();
             owner = offer.getOwner();
@@ -178,9 +184,7 @@
     }
 
     private static void say(Work w, Answer.Kind kind, Answer.Reason reason, boolean ran, Consumer<Say> say) {
-        if (!w.silent) {
-            say.accept(new Say(w.placer, w.attempt, kind, reason, ran, w.coresUsed, w.memoryUsed));
-        }
+        say.accept(new Say(w.placer, w.attempt, kind, reason, ran, w.coresUsed, w.memoryUsed, w.offer, w.silent));
     }
 
     /** The placer no longer wants the attempt: it is dropped at whatever point it is. */
@@ -188,7 +192,8 @@
         Work w = works.get(attempt);
         if (w == null) {
             // never came, or is over: for the placer that asks now it will not run any more
-            say.accept(new Say(placer, attempt, Answer.Kind.WITHDRAWN, Answer.Reason.NONE, true, 0, 0));
+            say.accept(new Say(placer, attempt, Answer.Kind.WITHDRAWN, Answer.Reason.NONE, true, 0, 0,
+                Offer.getDefaultInstance(), false));
             return;
         }
         boolean ran = w.began();
--- a/app/src/main/java/thornferry/app/DayCommand.java
+++ b/app/src/main/java/thornferry/app/DayCommand.java
@@ -10,6 +10,7 @@
 import thornferry.standin.Day;
 import thornferry.standin.DayFile;
 import thornferry.standin.Scenarios;
+import thornferry.state.Durability;
 
 @Command(name = "day", description = "Scripted days on loopback.", subcommands = {DayCommand.Run.class, DayCommand.Reasons.class})
 final class DayCommand extends Main.Group {
@@ -42,6 +43,9 @@
         @Option(names = "--seed", description = "In place of the script's.")
         Long seed;
 
+        @Option(names = "--durability", description = "Of the placers' promises, in place of the script's: ${COMPLETION-CANDIDATES}.")
+        Durability durability;
+
         @Option(names = "--slack-ms", defaultValue = "250",
             description = "How much later than the rule's grace a result may be seen; ${DEFAULT-VALUE}.")
         long slack;
@@ -52,6 +56,9 @@
             if (seed != null) {
                 file = file.withSeed(seed);
             }
+            if (durability != null) {
+                file = file.withDurability(durability);
+            }
             Path to = capture == null ? Files.createTempFile("thornferry-day", ".jsonl") : capture;
             Day.Outcome o = Day.play(file, to);
             System.out.printf("seed %d: %d tasks, %d asks: %d placed, %d refused, %d failed, %d unanswered; then %d "
--- a/config/src/main/java/thornferry/config/SiteFile.java
+++ b/config/src/main/java/thornferry/config/SiteFile.java
@@ -14,6 +14,7 @@
 import thornferry.protocol.FrameLimits;
 import thornferry.protocol.Heartbeat;
 import thornferry.security.Passcodes;
+import thornferry.state.Durability;
 
 /**
  * The configuration of a placer: site, listener and instances. {@code examples/site.toml} explains every key.
@@ -48,11 +49,17 @@
         Placement.Settings module = module(root, placer, placers);
         Site site = new Site(name, module, (long) placer.number("seed", 0, 9e15, 1), accounts(root, module),
             membership(root), intake(root), LineSection.read(root, module), TlsSection.read(root, file.directory()), limits,
-            heartbeat, handshake, most);
+            heartbeat, handshake, most, state(root, file.directory()));
         file.check();
         return new SiteFile(site, host, port, instances);
     }
 
+    private static Site.State state(Section root, Path directory) {
+        Section s = root.table("state");
+        Durability durability = s.choice("durability", Durability.class, Durability.NONE);
+        return new Site.State(durability, directory.resolve(s.text("folder", "state")));
+    }
+
     private static Membership.Limits membership(Section root) {
         Section s = root.table("membership");
         return new Membership.Limits(s.millis("gone-after-ms", 100, HOUR_MS, 10_000),
--- a/decisions/src/main/java/thornferry/decisions/Attempts.java
+++ b/decisions/src/main/java/thornferry/decisions/Attempts.java
@@ -40,6 +40,9 @@
     /** Tell the machine to drop the attempt, whatever became of it. */
     public record Withdraw(String machine, String attempt) implements Action { }
 
+    /** The attempt is proven never to have run; before its {@link Tell}. Not said of what may be repeated freely. */
+    public record NeverRan(String request, String attempt) implements Action { }
+
     /** The request is placed: its owner's result. */
     public record IsPlaced(String request, String machine) implements Action { }
 
@@ -85,6 +88,8 @@
 
     /** Attempts given up are remembered, so that late words are not taken for lies; bounded, oldest first out. */
     private static final int REMEMBERED = 50_000;
+    /** A machine that does not say since when it remembers all, does so for this long: the protocol's least. */
+    private static final long UNSAID_MEMORY = 30_000_000;
 
     private final String life;
     private final Map<String, Attempt> byId = new LinkedHashMap<>();
@@ -141,7 +146,7 @@
         Attempt a = byId.get(attempt);
         if (a == null || !a.machine.equals(machine)) {
             String was = a == null ? formerly.get(attempt) : a.machine;
-            boolean ours = attempt.startsWith(life + "-");
+            boolean ours = ours(attempt);
             if (ours && !machine.equals(was)) {
                 actions.accept(new Guilty(machine, "attempt " + attempt + " was not offered to this node"));
             } else if (word == Word.ACCEPTED || word == Word.RUNS) {
@@ -197,6 +202,9 @@
 
     private void end(long now, Attempt a, Outcome outcome, Reason reason, double[] report, Consumer<Action> actions) {
         drop(a);
+        if (a.effect != Effect.SAFE && (outcome == Outcome.REFUSED || outcome == Outcome.UNREACHABLE)) {
+            actions.accept(new NeverRan(a.request, a.id));
+        }
         actions.accept(new Tell(new Ended(a.request, a.number, a.machine, outcome, now - a.sentAt, false, reason,
             report)));
     }
@@ -225,12 +233,14 @@
      * A machine is connected and says what it holds of this placer's, in {@code held}.
      *
      * <p>The node dials again only after its former connection is closed for it, so nothing sent on that one can
-     * still reach it: what the inventory of the same life does not hold was never received.
+     * still reach it: what the inventory of the same life does not hold, and whose end it has not told before with its
+     * last answers, was never received; as far back as the machine remembers.
      *
      * @param running those of {@code held} that run
+     * @param since   by effect, since when it remembers all that it accepted
      */
     public void inventory(long now, String machine, long incarnation, Set<String> held, Set<String> running,
-                          Consumer<Action> actions) {
+                          Map<Effect, Long> since, Consumer<Action> actions) {
         for (Attempt a : at(machine)) {
             if (a.incarnation != incarnation) {
                 continue; // of an earlier life: lifeOver ends those
@@ -238,7 +248,9 @@
             if (held.contains(a.id)) {
                 place(now, a, actions);
             } else if (a.state == State.OPEN) {
-                end(now, a, Outcome.UNREACHABLE, Reason.NONE, null, actions);
+                // guards against a machine that had to forget how an attempt ended: its silence then proves nothing
+                boolean remembers = a.sentAt > since.getOrDefault(a.effect, now - UNSAID_MEMORY);
+                end(now, a, remembers ? Outcome.UNREACHABLE : Outcome.LOST, Reason.NONE, null, actions);
             } else {
                 over(now, a, Outcome.LOST, Reason.NONE, a.wanted == null ? Fate.LOST : a.wanted, null, actions);
             }
@@ -248,7 +260,7 @@
                 if (running.contains(id)) {
                     said(now, machine, id, Word.RUNS, Reason.NONE, true, null, actions);
                 }
-            } else if (id.startsWith(life + "-")) {
+            } else if (ours(id)) {
                 actions.accept(new Withdraw(machine, id)); // given up while it was away: its owner was told so
             } else {
                 actions.accept(new Adopt(machine, id));
@@ -296,11 +308,23 @@
         for (Attempt a : new ArrayList<>(open.values())) {
             if (now >= a.until) {
                 actions.accept(new Withdraw(a.machine, a.id));
-                end(now, a, Outcome.TIMED_OUT, Reason.NONE, null, actions);
+                if (byId.get(a.id) == a) { // else it was never sent, and the withdrawal has ended it
+                    end(now, a, Outcome.TIMED_OUT, Reason.NONE, null, actions);
+                }
             }
         }
     }
 
+    /** Whether the attempt is open: offered, or about to be, and without an outcome. */
+    public boolean isOpen(String attempt) {
+        return open.containsKey(attempt);
+    }
+
+    /** Whether an attempt is of this life of the placer. */
+    public boolean ours(String attempt) {
+        return attempt.startsWith(life + "-");
+    }
+
     private Collection<Attempt> at(String machine) {
         return new ArrayList<>(byMachine.getOrDefault(machine, Map.of()).values());
     }
--- a/decisions/src/main/java/thornferry/decisions/Intake.java
+++ b/decisions/src/main/java/thornferry/decisions/Intake.java
@@ -13,6 +13,7 @@
 import thornferry.decisions.Placement.Effect;
 import thornferry.decisions.Placement.Reason;
 import thornferry.decisions.Placement.TaskClass;
+import thornferry.decisions.recovery.Recovery.Doubt;
 
 /**
  * One result for each ask: what comes in from owners, what the module is asked, and what owners are told.
@@ -28,7 +29,8 @@
      * @param kept        results and running tasks kept at once; the oldest results are dropped first
      * @param keepFor     a result is kept so long after the task has its result or, once placed, its end
      * @param mostPatience what an ask may at most wait for its result; longer is cut to it
-     * @param settle      after the start, asks that must not start twice wait so long for nodes to say what runs
+     * @param settle      after the start, asks that must not start twice wait so long for nodes to say what runs and ran;
+     *                    0 where a whole journal tells what former lives offered
      * @param retryLeast  the least retry-after of a refusal; doubles with each refusal of the same task
      * @param retryMost   the most
      */
@@ -40,6 +42,11 @@
                 throw new IllegalArgumentException("intake limits must be above 0, retryMost not under retryLeast");
             }
         }
+
+        /** The same without waiting after the start. */
+        public Limits withoutSettling() {
+            return new Limits(inHand, kept, keepFor, mostPatience, 0, retryLeast, retryMost);
+        }
     }
 
     public enum Result { PLACED, REFUSED, FAILED }
@@ -68,11 +75,11 @@
         implements Action { }
 
     /** The request has its result; before {@link Deliver}. {@code request} null where it never went into the line. */
-    public record Answered(String request, String owner, String task, Result result, String machine)
-        implements Action { }
+    public record Answered(String request, String owner, String tenant, Wish wish, Effect effect, Result result,
+                           String machine, String reason) implements Action { }
 
-    /** The placed task of the request is over; before {@link Deliver}. */
-    public record Finished(String request, String owner, String task) implements Action { }
+    /** The placed task is over; before {@link Deliver}. {@code request} null where this life did not look after it. */
+    public record Finished(String request, String owner, String task, Effect effect, Fate fate) implements Action { }
 
     /** Tell the owner; {@link #delivered} says when it was told. */
     public record Deliver(News news) implements Action { }
@@ -112,6 +119,8 @@
         News event;
         Fate fate;
         long forgetAt;
+        boolean doubted; // it may have run in a former life, and proof may come
+        boolean unconfirmed; // placed by a former life, and its machine has not said yet that it has it
 
         Entry(String key, String owner, String tenant, Wish wish, TaskClass cls) {
             this.key = key;
@@ -137,6 +146,7 @@
 
     private record Due(long at, Entry entry, String request) { }
 
+    private static final String MAY_HAVE_RUN = "it may have run in a former life of the placer";
     /** The module answers before patience ends; so much after, an answer is given in its stead. */
     private static final long BACKSTOP = 2_000;
     /** Undelivered news for each owner; the oldest are dropped, their results can still be asked for again. */
@@ -155,6 +165,7 @@
     private final LinkedHashMap<Long, Long> forgotten = new LinkedHashMap<>(); // hash -> until
     private final List<Entry> settling = new ArrayList<>();
     private final long settleUntil;
+    private String unable = "";
     private int inHand;
     private long requests;
     private long newsNumber;
@@ -172,8 +183,19 @@
     }
 
     // ---- asks ----
-    /** An owner asks for a task. When it returns, the ask is taken: its result will come. */
+    /** An owner asks for a task that no former life can have started; see the other. */
     public void ask(long now, String owner, String tenant, Wish wish, Consumer<Action> actions) throws Unacceptable {
+        ask(now, owner, tenant, wish, Doubt.NONE, actions);
+    }
+
+    /**
+     * An owner asks for a task. When it returns, the ask is taken: its result will come.
+     *
+     * @param doubt whether it may have run in a former life of this placer; one that is held waits for {@link #proven},
+     *              {@link #ran}, {@link #adopt} or {@link #mayHaveRun}, and fails at the end of its patience
+     */
+    public void ask(long now, String owner, String tenant, Wish wish, Doubt doubt, Consumer<Action> actions)
+        throws Unacceptable {
         TaskClass cls = checked(wish);
         String key = key(owner, wish.id());
         Entry e = entries.get(key);
@@ -204,13 +226,22 @@
         e.fate = null;
         e.event = null;
         e.deadline = now + Math.min(limits.mostPatience(), wish.patience() == null ? cls.deadline() : wish.patience());
-        boolean settles = now < settleUntil && cls.effect() == Effect.UNSAFE;
+        e.doubted = doubt == Doubt.HELD;
+        boolean settles = e.doubted || now < settleUntil && cls.effect() == Effect.UNSAFE;
         actions.accept(new Waits(owner, tenant, wish, cls.effect() == Effect.KEYED, settles));
         if (inHand >= limits.inHand()) {
             answer(now, e, Result.REFUSED, "", "the placer has as many tasks in hand as it may: " + limits.inHand(),
                 retryAfter(e), actions);
             return;
         }
+        if (doubt == Doubt.MAY_HAVE_RUN) {
+            answer(now, e, Result.FAILED, "", MAY_HAVE_RUN, 0, actions);
+            return;
+        }
+        if (!unable.isEmpty() && cls.effect() != Effect.SAFE) {
+            answer(now, e, Result.REFUSED, "", unable, retryAfter(e), actions);
+            return;
+        }
         inHand++;
         e.why = "";
         if (settles) {
@@ -356,14 +387,117 @@
         if (e == null || e.state != State.PLACED) {
             return;
         }
+        over(now, e, machine, fate, actions);
+    }
+
+    private void over(long now, Entry e, String machine, Fate fate, Consumer<Action> actions) {
         e.state = State.OVER;
         e.fate = fate;
+        e.unconfirmed = false;
         e.event = new News(++newsNumber, e.owner, e.wish.id(), null, fate, machine, "", 0, false);
-        actions.accept(new Finished(request, e.owner, e.wish.id()));
+        actions.accept(new Finished(e.request, e.owner, e.wish.id(), e.cls.effect(), fate));
         deliver(e.event, actions);
         finish(now, e);
     }
 
+    /** What may not start twice cannot be promised now, and is refused with this reason; empty for it can. */
+    public void unable(String why) {
+        unable = why;
+    }
+
+    /** Whose request it is, and for what; null where it is not known. */
+    public Offered of(String request) {
+        Entry e = byRequest.get(request);
+        return e == null ? null : new Offered(e.owner, e.wish, e.cls.effect(), e.offers);
+    }
+
+    // ---- what former lives did ----
+    /** A result of a former life, kept as if it were this one's; {@code fate} null where the task may still run. */
+    public void restore(long now, String owner, String tenant, Wish wish, Result result, String machine, String reason,
+                        Fate fate) {
+        TaskClass cls = classes.get(wish.taskClass());
+        if (cls == null) {
+            return; // a class that the site no longer has: nobody can ask for it
+        }
+        Entry e = new Entry(key(owner, wish.id()), owner, tenant, wish, cls);
+        Entry refused = entries.put(e.key, e);
+        if (refused != null) {
+            finished.remove(e.key);
+            byRequest.remove(refused.request);
+        }
+        e.machine = machine;
+        e.result = new News(++newsNumber, owner, wish.id(), result, null, machine, reason, 0, true);
+        e.fate = fate;
+        e.unconfirmed = result == Result.PLACED && fate == null;
+        if (fate != null) {
+            e.event = new News(++newsNumber, owner, wish.id(), null, fate, machine, "", 0, true);
+        }
+        e.state = result == Result.FAILED ? State.FAILED : fate == null ? State.PLACED : State.OVER;
+        if (!e.unconfirmed) {
+            finish(now, e);
+        }
+    }
+
+    /** It is proven that no attempt of a former life ran: an ask that is held goes on. */
+    public void proven(long now, String owner, String task, Consumer<Action> actions) {
+        Entry e = entries.get(key(owner, task));
+        if (e != null && e.state == State.SETTLING && e.doubted) {
+            e.doubted = false;
+            if (now >= settleUntil || e.cls.effect() != Effect.UNSAFE) {
+                settling.remove(e);
+                hand(now, e, actions);
+            }
+        }
+    }
+
+    /** A former life placed the task on this machine, and it is over: the result of an ask that waits for it. */
+    public void ran(long now, String owner, String tenant, Wish wish, String machine, Fate fate,
+                    Consumer<Action> actions) {
+        Entry e = entries.get(key(owner, wish.id()));
+        if (e == null && !classes.containsKey(wish.taskClass()) || ownAnswer(e)) {
+            return;
+        }
+        if (e != null && !e.answered()) {
+            abandon(e, actions);
+            answer(now, e, Result.PLACED, machine, "it ran already", 0, actions);
+        } else if (e == null || !e.unconfirmed) {
+            restore(now, owner, tenant, wish, Result.PLACED, machine, "it ran already", null);
+            e = entries.get(key(owner, wish.id()));
+            actions.accept(new Answered(null, owner, tenant, wish, e.cls.effect(), Result.PLACED, machine, ""));
+        }
+        over(now, e, machine, fate, actions);
+    }
+
+    /** A former life started the task, or may have, and nothing will prove more: an ask that waits for it fails. */
+    public void mayHaveRun(long now, String owner, String tenant, Wish wish, String reason, Consumer<Action> actions) {
+        Entry e = entries.get(key(owner, wish.id()));
+        TaskClass cls = classes.get(wish.taskClass());
+        if (cls == null || ownAnswer(e)) {
+            return;
+        }
+        if (e != null && !e.answered()) {
+            abandon(e, actions);
+            answer(now, e, Result.FAILED, "", reason, 0, actions);
+        } else {
+            // nobody asks for it now; one who does is told
+            restore(now, owner, tenant, wish, Result.FAILED, "", reason, null);
+            actions.accept(new Answered(null, owner, tenant, wish, cls.effect(), Result.FAILED, "", reason));
+        }
+    }
+
+    /** This life has answered, and by more than a refusal, after which an owner may ask anew: that answer stands. */
+    private static boolean ownAnswer(Entry e) {
+        return e != null && e.answered() && !e.unconfirmed && e.state != State.REFUSED;
+    }
+
+    /** The same for a task in doubt whose ask is held; nothing where none is. */
+    public void unprovable(long now, String owner, String task, String machine, Consumer<Action> actions) {
+        Entry e = entries.get(key(owner, task));
+        if (e != null && e.state == State.SETTLING && e.doubted) {
+            answer(now, e, Result.FAILED, "", MAY_HAVE_RUN + ", and node " + machine + " does not remember", 0, actions);
+        }
+    }
+
     /**
      * Work of a former life of this placer was found on a node: it is this owner's task, placed. Where it was asked
      * for again meanwhile, what runs is its result, and the new request is abandoned.
@@ -374,7 +508,8 @@
     public Ask adopt(long now, String owner, String tenant, Wish wish, String machine, Consumer<Action> actions) {
         String key = key(owner, wish.id());
         Entry e = entries.get(key);
-        if (e != null && (e.state == State.PLACED || e.state == State.OVER && !e.askedAnew())) {
+        if (e != null && (e.state == State.FAILED || e.state == State.PLACED && !e.unconfirmed
+            || e.state == State.OVER && !e.askedAnew())) {
             return null;
         }
         boolean waits = e != null && !e.answered();
@@ -390,6 +525,7 @@
             entries.put(key, e);
         }
         finished.remove(key);
+        e.unconfirmed = false;
         e.request = "q" + ++requests;
         byRequest.put(e.request, e);
         if (waits) {
@@ -399,7 +535,7 @@
             e.machine = machine;
             e.result = new News(++newsNumber, owner, wish.id(), Result.PLACED, null, machine, "it ran already", 0,
                 false);
-            actions.accept(new Answered(e.request, owner, wish.id(), Result.PLACED, machine));
+            actions.accept(new Answered(e.request, owner, tenant, wish, e.cls.effect(), Result.PLACED, machine, ""));
         }
         return new Ask(e.request, e.cls.name(), tenant, key, 0, wish.runsFor(), wish.service(), wish.cores(),
             wish.memory(), true);
@@ -418,7 +554,7 @@
         if (result != Result.PLACED) {
             finish(now, e);
         }
-        actions.accept(new Answered(e.request, e.owner, e.wish.id(), result, machine));
+        actions.accept(new Answered(e.request, e.owner, e.tenant, e.wish, e.cls.effect(), result, machine, reason));
         deliver(e.result, actions);
     }
 
@@ -462,12 +598,13 @@
     public void tick(long now, Consumer<Action> actions) {
         if (!settling.isEmpty()) {
             for (Entry e : new ArrayList<>(settling)) {
-                if (now >= settleUntil) {
+                if (now >= settleUntil && !e.doubted) {
                     settling.remove(e);
                     hand(now, e, actions);
                 } else if (now >= e.deadline - BACKSTOP) {
-                    answer(now, e, Result.REFUSED, "", "the placer has just started and waits for its nodes",
-                        Math.max(limits.retryLeast(), settleUntil - now), actions);
+                    // no refusal, which would say that trying again is harmless: what ran is not known yet
+                    answer(now, e, Result.FAILED, "", e.doubted ? MAY_HAVE_RUN + ", and its node has not come back"
+                        : "the placer has just started and cannot tell yet whether it ran before", 0, actions);
                 }
             }
         }
--- a/decisions/src/main/java/thornferry/decisions/Membership.java
+++ b/decisions/src/main/java/thornferry/decisions/Membership.java
@@ -243,6 +243,12 @@
         return m == null ? NO_LINK : m.link;
     }
 
+    /** Whether the machine may be offered something at this moment, as the module was told last. */
+    public boolean ready(String machine) {
+        Machine m = machines.get(machine);
+        return m != null && m.told == MachineState.READY;
+    }
+
     /** The present incarnation of a machine, or -1 where it is not known. */
     public long incarnation(String machine) {
         Machine m = machines.get(machine);
--- a/placer/src/main/java/thornferry/placer/Core.java
+++ b/placer/src/main/java/thornferry/placer/Core.java
@@ -1,6 +1,7 @@
 package thornferry.placer;
 
 import io.netty.channel.EventLoop;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -8,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -19,6 +21,9 @@
 import thornferry.decisions.Membership;
 import thornferry.decisions.Placement;
 import thornferry.decisions.Reasons;
+import thornferry.decisions.recovery.Promise;
+import thornferry.decisions.recovery.Recovery;
+import thornferry.state.Journal;
 
 /**
  * The decision modules of one placer, wired to each other: what one of them decides is an event of the next. It knows
@@ -38,6 +43,9 @@
 
         void tellDrain(String machine, boolean on);
 
+        /** A machine is admitted: it is to remember so long what it ran for this placer. */
+        void welcome(String machine, long remember);
+
         void deliver(Intake.News news);
 
         void closeLink(long link, String why);
@@ -67,6 +75,10 @@
     private final Membership membership;
     private final Attempts attempts;
     private final Intake intake;
+    private final Recovery recovery;
+    private final Journal journal;
+    private final Set<String> unwritten = new HashSet<>(); // attempts whose promise is not durable yet: nothing was sent
+    private final Map<String, List<Intake.News>> untold = new HashMap<>(); // by owner and task, until it is durable
     private final Fleet fleet;
     private final Line line;
     private final Reasons reasons;
@@ -77,15 +89,28 @@
     private final Map<String, Probing> probing = new LinkedHashMap<>();
     private final Map<String, Held> adoptable = new HashMap<>(); // during one registration
     private List<Said> recent = List.of(); // likewise
+    private List<Recovery.Recalled> recalled = List.of(); // likewise
+    private Map<Placement.Effect, Long> remembersSince = Map.of(); // likewise
     private Fleet.Said saying = Fleet.Said.NONE; // during one answer
     private long probeNumber;
     private long resultCount;
     private long offerCount;
     private int ticks;
 
+    /**
+     * What former lives left.
+     *
+     * @param journal  where this life writes
+     * @param promises what stood in it
+     * @param whole    whether all that former lives offered stands in it
+     */
+    record Kept(Journal journal, List<Promise> promises, boolean whole) {
+        static final Kept NOTHING = new Kept(Journal.NONE, List.of(), false);
+    }
+
     /** @param tenants gives an owner's tenant, empty for none */
-    Core(Site site, int number, String name, EventLoop loop, Clock clock,
-         Function<Placement.Settings, Placement> maker, Function<String, String> tenants, Out out) {
+    Core(Site site, int number, String name, EventLoop loop, Clock clock, Function<Placement.Settings, Placement> maker,
+         Function<String, String> tenants, Kept kept, Out out) {
         this.name = name;
         this.loop = loop;
         this.clock = clock;
@@ -98,7 +123,11 @@
         module = new ModuleHost(maker.apply(settings), loop, clock, this::act, this::moduleFailed, LOG, name);
         membership = new Membership(site.membership(), settings.kinds());
         attempts = new Attempts(name + "." + Long.toString(now, 36));
-        intake = new Intake(site.intake(), settings.classes(), settings.seed(), now);
+        intake = new Intake(kept.whole() ? site.intake().withoutSettling() : site.intake(), settings.classes(),
+            settings.seed(), now);
+        recovery = new Recovery(new Recovery.Limits(site.intake().keepFor(), site.intake().mostPatience(),
+            site.membership().goneAfter(), site.intake().kept()));
+        journal = kept.journal();
         fleet = new Fleet(settings.kinds());
         line = new Line(site.line(), fleet, settings.seed());
         Map<String, String> needs = new HashMap<>();
@@ -106,9 +135,17 @@
             .forEach(c -> needs.put(c.name(), settings.kinds().get(c.needsKind()).name()));
         reasons = new Reasons(new Reasons.Limits(site.line().on(), site.intake().kept(), HISTORY, site.intake().keepFor()),
             fleet, line, needs, membership::link);
+        kept.promises().forEach(recovery::note);
+        recovery.begin(now, this::carryOut);
+        intake.unable(journal.trouble());
         loop.execute(() -> module.on(new Placement.MachineList(0, Placement.ListKind.FULL, List.of())));
     }
 
+    /** What still counts of what was promised: the beginning of a journal. */
+    List<Promise> promised() {
+        return recovery.snapshot();
+    }
+
     // ---- to be read; on the event loop ----
     Membership membership() {
         return membership;
@@ -139,6 +176,9 @@
         reasons.tick(now, out::changed);
         if (++ticks % SLOW_TICK == 0) {
             membership.tick(now, this::carryOut);
+            recovery.tick(now, this::carryOut);
+            journal.compact(recovery::snapshot);
+            intake.unable(journal.trouble());
             probing.entrySet().removeIf(e -> {
                 boolean late = e.getValue().sentAt() < now - PROBE_GIVEN_UP;
                 if (late) {
@@ -155,7 +195,7 @@
 
     // ---- owners and operators ----
     void ask(String owner, Intake.Wish wish) throws Intake.Unacceptable {
-        intake.ask(clock.now(), owner, tenants.apply(owner), wish, this::carryOut);
+        intake.ask(clock.now(), owner, tenants.apply(owner), wish, recovery.doubt(owner, wish.id()), this::carryOut);
     }
 
     void stop(String owner, String task) throws Intake.Unacceptable {
@@ -176,12 +216,23 @@
     }
 
     // ---- machines ----
-    void registered(long link, Membership.Registration registration, List<Held> held, List<Said> lately) {
+    /**
+     * A machine registers.
+     *
+     * @param lately   its last final answers
+     * @param remembers what of those it says of attempts that must not run twice
+     * @param since     see {@link Recovery.Testimony}
+     */
+    void registered(long link, Membership.Registration registration, List<Held> held, List<Said> lately,
+                    List<Recovery.Recalled> remembers, Map<Placement.Effect, Long> since) {
         adoptable.clear();
         held.forEach(h -> adoptable.put(h.attempt(), h));
         recent = lately;
+        recalled = remembers;
+        remembersSince = since;
         membership.registered(clock.now(), link, registration, this::carryOut);
         recent = List.of();
+        recalled = List.of();
         adoptable.clear();
     }
 
@@ -285,9 +336,57 @@
         reasons.offered(offer.id(), machine);
         LOG.atDebug().addKeyValue("instance", name).addKeyValue("task", of.wish().id()).addKeyValue("node", machine)
             .addKeyValue("attempt", attempt).log("offered, attempt {} of this ask", of.number());
+        if (of.effect() == Placement.Effect.SAFE) {
+            send(machine, attempt, of);
+            return;
+        }
+        unwritten.add(attempt);
+        promise(new Promise.Offered(now, attempt, of.owner(), tenants.apply(of.owner()), of.wish(), of.effect(), machine,
+            membership.incarnation(machine)), wrong -> promised(machine, attempt, of, wrong));
+    }
+
+    private void send(String machine, String attempt, Intake.Offered of) {
         if (!out.offer(machine, attempt, of)) {
-            attempts.notWritten(now, attempt, this::carryOut);
+            attempts.notWritten(clock.now(), attempt, this::carryOut);
+        }
+    }
+
+    /** An offer's promise is as durable as configured: only now may its first octet leave. */
+    private void promised(String machine, String attempt, Intake.Offered of, String wrong) {
+        if (!unwritten.remove(attempt)) {
+            return; // given up meanwhile
         }
+        // guards against what changed while the disk was slow: a machine that drains now must get nothing new
+        if (wrong == null && attempts.isOpen(attempt) && membership.ready(machine)) {
+            send(machine, attempt, of);
+        } else {
+            intake.unable(journal.trouble());
+            attempts.notWritten(clock.now(), attempt, this::carryOut);
+        }
+    }
+
+    /** Writes a promise; {@code then} runs on the loop, with null or what is wrong. */
+    private void promise(Promise promise, Consumer<String> then) {
+        recovery.note(promise);
+        journal.append(promise, wrong -> {
+            if (loop.inEventLoop()) {
+                then.accept(wrong);
+            } else {
+                loop.execute(() -> then.accept(wrong));
+            }
+        });
+    }
+
+    /** The same, and what is told of the task from now on waits for it. */
+    private void promiseBeforeTelling(String owner, String task, Promise promise) {
+        String key = owner + "/" + task;
+        untold.putIfAbsent(key, new ArrayList<>());
+        promise(promise, wrong -> {
+            List<Intake.News> waited = untold.remove(key);
+            if (waited != null) {
+                waited.forEach(out::deliver); // also where it could not be written: a result there must be
+            }
+        });
     }
 
     private void probe(String machine) {
@@ -326,8 +425,18 @@
         long now = clock.now();
         if (action instanceof Attempts.Tell tell) {
             tell(now, tell.event());
+        } else if (action instanceof Attempts.NeverRan never) {
+            Intake.Offered of = intake.of(never.request());
+            if (of != null) {
+                promise(new Promise.NeverRan(now, of.owner(), of.wish().id(), never.attempt()), wrong -> { });
+            }
         } else if (action instanceof Attempts.Withdraw w) {
-            out.withdraw(w.machine(), w.attempt());
+            if (unwritten.remove(w.attempt())) {
+                // guards against an offer that leaves after its own withdrawal, and runs with nobody to look after it
+                attempts.notWritten(now, w.attempt(), this::carryOut);
+            } else {
+                out.withdraw(w.machine(), w.attempt());
+            }
         } else if (action instanceof Attempts.IsPlaced placed) {
             intake.placed(now, placed.request(), placed.machine(), this::carryOut);
         } else if (action instanceof Attempts.Over over) {
@@ -393,15 +502,27 @@
             if (a.request() != null) {
                 asks.remove(a.request());
             }
-            reasons.answered(now, a.owner(), a.task(), state(a.result()), a.machine());
+            if (a.effect() != Placement.Effect.SAFE && a.result() != Intake.Result.REFUSED) {
+                promiseBeforeTelling(a.owner(), a.wish().id(), new Promise.Answered(now, a.owner(), a.tenant(), a.wish(),
+                    a.effect(), a.result(), a.machine(), a.reason()));
+            }
+            reasons.answered(now, a.owner(), a.wish().id(), state(a.result()), a.machine());
+            if (a.request() == null) {
+                return;
+            }
             if (a.result() == Intake.Result.PLACED) {
                 line.placed(now, a.request(), this::carryOut);
-            } else if (a.request() != null) {
+            } else {
                 line.over(now, a.request(), this::carryOut);
             }
         } else if (action instanceof Intake.Finished f) {
+            if (f.effect() != Placement.Effect.SAFE) {
+                promiseBeforeTelling(f.owner(), f.task(), new Promise.Finished(now, f.owner(), f.task(), f.fate()));
+            }
             reasons.over(now, f.owner(), f.task());
-            line.over(now, f.request(), this::carryOut);
+            if (f.request() != null) {
+                line.over(now, f.request(), this::carryOut);
+            }
         } else if (action instanceof Intake.Deliver d) {
             if (d.news().result() != null && !d.news().repeat()) {
                 resultCount++;
@@ -409,7 +530,12 @@
             LOG.atDebug().addKeyValue("instance", name).addKeyValue("task", d.news().task())
                 .addKeyValue("node", d.news().machine())
                 .log("{}", d.news().result() == null ? d.news().fate() : d.news().result());
-            out.deliver(d.news());
+            List<Intake.News> waiting = untold.get(d.news().owner() + "/" + d.news().task());
+            if (waiting != null) {
+                waiting.add(d.news());
+            } else {
+                out.deliver(d.news());
+            }
         } else if (action instanceof Intake.Abandon abandon) {
             asks.remove(abandon.request());
             attempts.unwanted(abandon.request(), abandon.fate(), this::carryOut);
@@ -420,6 +546,25 @@
         }
     }
 
+    private void carryOut(Recovery.Action action) {
+        long now = clock.now();
+        if (action instanceof Recovery.Restored r) {
+            intake.restore(now, r.owner(), r.tenant(), r.wish(), r.result(), r.machine(), r.reason(), r.fate());
+        } else if (action instanceof Recovery.Ran r) {
+            LOG.atInfo().addKeyValue("instance", name).addKeyValue("node", r.machine())
+                .addKeyValue("task", r.wish().id()).log("placed by a former life of this placer: {}", r.fate());
+            intake.ran(now, r.owner(), tenants.apply(r.owner()), r.wish(), r.machine(), r.fate(), this::carryOut);
+        } else if (action instanceof Recovery.Failed f) {
+            intake.mayHaveRun(now, f.owner(), tenants.apply(f.owner()), f.wish(), f.reason(), this::carryOut);
+        } else if (action instanceof Recovery.Proven p) {
+            intake.proven(now, p.owner(), p.task(), this::carryOut);
+        } else if (action instanceof Recovery.Unprovable u) {
+            LOG.atWarn().addKeyValue("instance", name).addKeyValue("node", u.machine()).addKeyValue("task", u.task())
+                .log("offered by a former life of this placer; whether it ran cannot be proven any more");
+            intake.unprovable(now, u.owner(), u.task(), u.machine(), this::carryOut);
+        }
+    }
+
     private static Reasons.State state(Intake.Result result) {
         return switch (result) {
             case PLACED -> Reasons.State.PLACED;
@@ -449,8 +594,12 @@
                     running.add(id);
                 }
             });
-            attempts.inventory(now, admitted.machine(), admitted.incarnation(), new LinkedHashSet<>(
-                adoptable.keySet()), running, this::carryOut);
+            Set<String> held = new LinkedHashSet<>(adoptable.keySet());
+            attempts.inventory(now, admitted.machine(), admitted.incarnation(), held, running, remembersSince,
+                this::carryOut);
+            recovery.testifies(now, new Recovery.Testimony(admitted.machine(), admitted.incarnation(), held, recalled,
+                remembersSince), attempts::ours, this::carryOut);
+            out.welcome(admitted.machine(), recovery.limits().remember());
         } else if (action instanceof Membership.TellDrain drain) {
             out.tellDrain(drain.machine(), drain.on());
         }
--- a/placer/src/main/java/thornferry/placer/Placer.java
+++ b/placer/src/main/java/thornferry/placer/Placer.java
@@ -13,6 +13,7 @@
 import io.netty.handler.ssl.SslContext;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
@@ -24,6 +25,9 @@
 import thornferry.decisions.Policy;
 import thornferry.protocol.ServerSession;
 import thornferry.security.Tls;
+import thornferry.state.Durability;
+import thornferry.state.Journal;
+import thornferry.state.JournalFile;
 
 /**
  * A running placer: one or more instances, each listening on a port of its own and sharing nothing with the others.
@@ -37,6 +41,7 @@
     private final List<EventLoop> loopOf = new ArrayList<>();
     private final List<Channel> listeners = new ArrayList<>();
     private final List<ChannelGroup> accepted = new ArrayList<>();
+    private final List<JournalFile> journals = new ArrayList<>();
 
     private final Gate gate;
     private volatile SslContext tls; // null for plain text
@@ -85,7 +90,11 @@
     private void listen(Site site, String host, int port, int number, Function<Placement.Settings, Placement> maker)
         throws IOException {
         EventLoop loop = loops.next();
-        PlacerInstance instance = new PlacerInstance(site, number, loop, Clock.system(), gate, reloading, maker);
+        Core.Kept kept = kept(site, number);
+        PlacerInstance instance = new PlacerInstance(site, number, loop, Clock.system(), gate, reloading, maker, kept);
+        if (kept.journal() instanceof JournalFile file) {
+            file.begin(instance.promised());
+        }
         ChannelGroup open = new DefaultChannelGroup(loop);
         Channel listener;
         try {
@@ -121,6 +130,28 @@
         LOG.atInfo().addKeyValue("instance", instance.name()).log("listens on {}", listener.localAddress());
     }
 
+    /** What former lives of an instance left. A folder that cannot be used costs what must be promised, and no more. */
+    private Core.Kept kept(Site site, int number) throws IOException {
+        if (site.state().durability() == Durability.NONE) {
+            return Core.Kept.NOTHING;
+        }
+        String name = PlacerInstance.name(site, number);
+        Path folder = site.state().folder().resolve(name);
+        try {
+            JournalFile file = JournalFile.open(folder, name, site.state().durability());
+            journals.add(file);
+            LOG.atInfo().addKeyValue("instance", name).log("journal in {}: {} lines of former lives{}", folder,
+                file.promises().size(), file.lacking().isEmpty() ? "" : "; " + file.lacking());
+            return new Core.Kept(file, file.promises(), file.lacking().isEmpty());
+        } catch (JournalFile.InUse e) {
+            throw e;
+        } catch (IOException e) {
+            String why = "the journal in " + folder + " cannot be used: " + e;
+            LOG.atError().addKeyValue("instance", name).log("{}; keyed and unsafe tasks are refused", why);
+            return new Core.Kept(Journal.broken(why), List.of(), false);
+        }
+    }
+
     private static SslContext context(Site site) throws IOException {
         return site.tls() == null ? null : Tls.server(site.tls().files(), site.tls().clients());
     }
@@ -214,5 +245,6 @@
         accepted.forEach(open -> open.close().syncUninterruptibly());
         gate.close();
         loops.shutdownGracefully(0, 2, TimeUnit.SECONDS).syncUninterruptibly();
+        journals.forEach(JournalFile::close);
     }
 }
--- a/placer/src/main/java/thornferry/placer/PlacerInstance.java
+++ b/placer/src/main/java/thornferry/placer/PlacerInstance.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.stomp.StompCommand;
 import io.netty.handler.ssl.SslHandler;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -23,6 +24,8 @@
 import thornferry.decisions.Membership;
 import thornferry.decisions.Placement;
 import thornferry.decisions.Reasons;
+import thornferry.decisions.recovery.Promise;
+import thornferry.decisions.recovery.Recovery;
 import thornferry.protocol.Bodies;
 import thornferry.protocol.Destinations;
 import thornferry.protocol.Frame;
@@ -30,6 +33,7 @@
 import thornferry.protocol.ServerSession;
 import thornferry.protocol.v1.Answer;
 import thornferry.protocol.v1.Drain;
+import thornferry.protocol.v1.Effect;
 import thornferry.protocol.v1.Held;
 import thornferry.protocol.v1.LimitsQuery;
 import thornferry.protocol.v1.Load;
@@ -44,6 +48,7 @@
 import thornferry.protocol.v1.Task;
 import thornferry.protocol.v1.TaskNews;
 import thornferry.protocol.v1.WaitingQuery;
+import thornferry.protocol.v1.Welcome;
 import thornferry.protocol.v1.WhyQuery;
 import thornferry.protocol.v1.Withdraw;
 import thornferry.security.Tls;
@@ -99,8 +104,8 @@
     }
 
     PlacerInstance(Site site, int number, EventLoop loop, Clock clock, Gate gate, Reloading reloading,
-                   Function<Placement.Settings, Placement> maker) {
-        this.name = site.name() + "-" + number;
+                   Function<Placement.Settings, Placement> maker, Core.Kept kept) {
+        this.name = name(site, number);
         this.loop = loop;
         this.clock = clock;
         this.gate = gate;
@@ -108,7 +113,7 @@
         this.core = new Core(site, number, name, loop, clock, maker, owner -> {
             Account account = gate.account(owner);
             return account == null ? "" : account.tenant();
-        }, this);
+        }, kept, this);
         loop.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -116,6 +121,15 @@
         return name;
     }
 
+    static String name(Site site, int number) {
+        return site.name() + "-" + number;
+    }
+
+    /** See {@link Core#promised}. */
+    List<Promise> promised() {
+        return core.promised();
+    }
+
     /** To be called on the event loop. */
     Placer.Totals counts() {
         return core.totals(askCount);
@@ -381,16 +395,40 @@
             held.add(new Core.Held(h.getAttempt(), h.getOwner(), wish(h.getTask()), h.getRuns()));
         }
         List<Core.Said> recent = new ArrayList<>();
+        List<Recovery.Recalled> recalled = new ArrayList<>();
         for (Answer a : r.getRecentList()) {
             if (a.getKind() != Answer.Kind.USES) {
                 recent.add(said(a));
             }
+            if (a.hasTask() && !a.getOwner().isEmpty()) {
+                recalled.add(new Recovery.Recalled(a.getAttempt(), a.getOwner(), wish(a.getTask()), effect(a.getEffect()),
+                    said(a).word(), a.getRan()));
+            }
+        }
+        Map<Placement.Effect, Long> since = new EnumMap<>(Placement.Effect.class);
+        if (r.hasForgotUnsafeMs()) {
+            since.put(Placement.Effect.UNSAFE, since(r.getForgotUnsafeMs()));
+        }
+        if (r.hasForgotKeyedMs()) {
+            since.put(Placement.Effect.KEYED, since(r.getForgotKeyedMs()));
         }
         Load load = r.hasLoad() ? r.getLoad() : Load.newBuilder().setCoresFree(r.getCores())
             .setMemoryFree(r.getMemory()).build();
         core.registered(peer.link, new Membership.Registration(r.getNode(), r.getIncarnation(),
             r.getKind(), r.getZone(), r.getCell(), r.getCores(), r.getMemory(), micros(r.getUptimeMs()),
-            load.getCoresFree(), load.getMemoryFree()), held, recent);
+            load.getCoresFree(), load.getMemoryFree()), held, recent, recalled, since);
+    }
+
+    private long since(long forgotMsAgo) {
+        return forgotMsAgo <= 0 ? Recovery.Testimony.ITS_WHOLE_LIFE : clock.now() - micros(forgotMsAgo);
+    }
+
+    private static Placement.Effect effect(Effect e) {
+        return switch (e) {
+            case KEYED -> Placement.Effect.KEYED;
+            case UNSAFE -> Placement.Effect.UNSAFE;
+            default -> Placement.Effect.SAFE;
+        };
     }
 
     private void answer(String machine, Answer a) throws ProtocolException {
@@ -436,7 +474,7 @@
         Task.Builder task = Task.newBuilder().setId(w.id()).setTaskClass(w.taskClass()).setService(w.service())
             .setKey(w.key()).setCores(w.cores()).setMemory(w.memory()).setRunsForMs(w.runsFor() / 1_000);
         Order order = Order.newBuilder().setOffer(Offer.newBuilder().setAttempt(attempt).setTask(task)
-            .setOwner(of.owner()).setPlacer(name)).build();
+            .setOwner(of.owner()).setPlacer(name).setEffect(Effect.valueOf(of.effect().name()))).build();
         ChannelFuture written = send(machine, order, attempt);
         if (written != null) {
             written.addListener(done -> {
@@ -472,6 +510,12 @@
         send(machine, Order.newBuilder().setDrain(Drain.newBuilder().setNode(machine).setOn(on)).build(), "d" + machine);
     }
 
+    @Override
+    public void welcome(String machine, long remember) {
+        send(machine, Order.newBuilder().setWelcome(Welcome.newBuilder().setPlacer(name).setRememberMs(remember / 1_000))
+            .build(), "welcome");
+    }
+
     @Override
     public void closeLink(long link, String why) {
         ServerSession session = links.get(link);
--- a/placer/src/main/java/thornferry/placer/Site.java
+++ b/placer/src/main/java/thornferry/placer/Site.java
@@ -1,5 +1,6 @@
 package thornferry.placer;
 
+import java.nio.file.Path;
 import java.util.List;
 import thornferry.decisions.Intake;
 import thornferry.decisions.LineSettings;
@@ -8,6 +9,7 @@
 import thornferry.protocol.FrameLimits;
 import thornferry.protocol.Heartbeat;
 import thornferry.security.Tls;
+import thornferry.state.Durability;
 
 /**
  * Everything that a placer is configured with. Checked when it is read; see the configuration in app.
@@ -19,10 +21,16 @@
  * @param line        limits and order of what waits
  * @param tls         certificate, key and authorities; null for plain text
  * @param connections open at once, for each instance; more are closed as they come
+ * @param state       what is kept over restarts
  */
 public record Site(String name, Placement.Settings module, long seed, List<Account> accounts,
                    Membership.Limits membership, Intake.Limits intake, LineSettings line, TlsFiles tls, FrameLimits frames, Heartbeat heartbeat,
-                   int handshakeMs, int connections) {
+                   int handshakeMs, int connections, State state) {
+    /** What lasts over restarts, and where: a folder for each instance below {@code folder}, of no use with none. */
+    public record State(Durability durability, Path folder) {
+        public static final State NONE = new State(Durability.NONE, Path.of("state"));
+    }
+
     /** Where a placer's certificate, its key and the authorities of its peers' certificates are. */
     public record TlsFiles(Tls.Pem files, Tls.Clients clients) { }
 
@@ -34,13 +42,13 @@
     /** The same site as one of {@code placers} placers has it: under its own name, seed and number, for more accounts. */
     public Site asPlacer(String name, int number, int placers, long seed, List<Account> accounts) {
         return new Site(name, settings(module.seed(), number, placers), seed, accounts, membership, intake, line, tls,
-            frames, heartbeat, handshakeMs, connections);
+            frames, heartbeat, handshakeMs, connections, state);
     }
 
     /** The same with other limits and order of what waits. */
     public Site withLine(LineSettings other) {
         return new Site(name, module, seed, accounts, membership, intake, other, tls, frames, heartbeat, handshakeMs,
-            connections);
+            connections, state);
     }
 
     /** The same with neither line nor reasons, for measuring what they cost and bring. */
@@ -51,7 +59,13 @@
     /** The same over TLS. */
     public Site withTls(TlsFiles files) {
         return new Site(name, module, seed, accounts, membership, intake, line, files, frames, heartbeat, handshakeMs,
-            connections);
+            connections, state);
+    }
+
+    /** The same with other means to outlast restarts. */
+    public Site withState(State other) {
+        return new Site(name, module, seed, accounts, membership, intake, line, tls, frames, heartbeat, handshakeMs,
+            connections, other);
     }
 
     private Placement.Settings settings(long moduleSeed, int number, int placers) {
--- a/standin/src/main/java/thornferry/standin/Capture.java
+++ b/standin/src/main/java/thornferry/standin/Capture.java
@@ -26,6 +26,7 @@
 import thornferry.protocol.v1.Register;
 import thornferry.protocol.v1.StopTask;
 import thornferry.protocol.v1.Task;
+import thornferry.state.Durability;
 
 /**
  * Writes what passed on the sockets as JSON lines, in the order in which the relay passed it on. Each line has
@@ -76,7 +77,8 @@
      */
     public void site(Site site, double startsPerSecond) {
         Placement.Settings m = site.module();
-        ObjectNode line = JSON.createObjectNode().put("k", "site");
+        ObjectNode line = JSON.createObjectNode().put("k", "site")
+            .put("lasting", site.state().durability() != Durability.NONE);
         line.putObject("rules").put("answerGrace", m.rules().answerGrace()).put("drainGrace", m.rules().drainGrace())
             .put("ramp", m.rules().rampTime()).put("coldFrom", m.rules().coldFrom())
             .put("coldMultiple", m.rules().coldMultiple()).put("coldWindow", m.rules().coldWindow())
--- a/standin/src/test/java/thornferry/standin/AuditorTest.java
+++ b/standin/src/test/java/thornferry/standin/AuditorTest.java
@@ -194,6 +194,27 @@
         finds(2, "outside the group that drops its repeats");
     }
 
+    @Test
+    void rule1OneMessageThatSaysTwoThings() throws IOException {
+        after("\"message-id\":\"n1\"", frame(1, "down", "MESSAGE", "\"destination\":\"/tasks/results\",\"message-id\":"
+            + "\"n1\",\"task\":\"t1\",\"result\":\"failed\"", "{}"));
+        finds(1, "says 't1 failed' to one session of o and 't1 placed' to another");
+    }
+
+    @Test
+    void rule1AResultThatDoesNotOutlastAKill() throws IOException {
+        lines.set(0, lines.get(0).replace("\"k\":\"site\"", "\"k\":\"site\",\"lasting\":true"));
+        String told = "\"message-id\":\"n1\"";
+        int number = at("\"task\":\"t1\",\"result\"");
+        assertThat(lines.get(number)).contains(told).contains("\"result\":\"placed\"");
+        long last = lines.size();
+        lines.add("{\"t\":9000000,\"k\":\"mark\",\"what\":\"placer-killed\",\"placer\":\"p\"}");
+        lines.add("{\"t\":9010000," + ask("t1", "unsafe") + "}");
+        lines.add("{\"t\":9020000," + result(1, "t1", "failed") + "}");
+        assertThat(lines).hasSize((int) last + 3);
+        assertThat(audit()).anyMatch(b -> b.rule() == 1 && b.what().contains("is told failed after it was told placed"));
+    }
+
     @Test
     void rule2AnUnsafeTaskThatRanTwice() throws IOException {
         after("\"attempt\":\"x2\",\"kind\":\"RUNS\"", answer("a1", "x1", "RUNS"));
