--- a/state/src/main/java/thornferry/state/JournalFile.java
+++ b/state/src/main/java/thornferry/state/JournalFile.java
@@ -1,21 +1,21 @@
 package thornferry.state;
 
+import java.io.ByteArrayOutputStream;
+import java.io.Closeable;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
 import java.nio.channels.OverlappingFileLockException;
-import java.nio.file.AtomicMoveNotSupportedException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
-import java.util.stream.Stream;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import thornferry.decisions.recovery.Promise;
@@ -51,19 +51,24 @@
     private static final long TRY_AGAIN_NANOS = 1_000_000_000;
     /** Lines of one force. */
     private static final int BATCH_OCTETS = 1 << 20;
+    /** Octets of one write of a file that is written anew. */
+    private static final int PIECE = 1 << 18;
 
     private record Pending(byte[] octets, Consumer<String> done) { }
 
     private final Path folder;
     private final String placer;
     private final Durability durability;
-    private final FileChannel lockChannel;
-    private final FileLock lock;
+    private final Storage storage;
+    private final LongSupplier nanos;
+    private final boolean threads;
+    private final Closeable lock;
     private final Reading read;
     private final String restartTrouble;
     private final ArrayDeque<Pending> queue = new ArrayDeque<>(); // for the writer thread; guarded by itself
     private final Thread writer;
-    private FileChannel out; // from here on guarded by this
+    long compactFrom = COMPACT_FROM;
+    private Storage.Out out; // from here on guarded by this
     private Path file;
     private long number;
     private long good; // octets that are whole lines
@@ -73,34 +78,37 @@
     private long triedAt;
     private boolean closed;
 
-    private JournalFile(Path folder, String placer, Durability durability, FileChannel lockChannel, FileLock lock)
-        throws IOException {
+    /** @param threads whether forces and rewriting have threads of their own; else all is done where it is asked for */
+    JournalFile(Path folder, String placer, Durability durability, Storage storage, LongSupplier nanos, boolean threads,
+                Closeable lock) throws IOException {
         this.folder = folder;
         this.placer = placer;
         this.durability = durability;
-        this.lockChannel = lockChannel;
+        this.storage = storage;
+        this.nanos = nanos;
+        this.threads = threads;
         this.lock = lock;
-        List<Path> files = files(folder);
+        List<Path> files = files(storage, folder);
         Reading found = new Reading(List.of(), true, false, "", null, 0);
         if (!files.isEmpty()) {
             Path newest = files.get(files.size() - 1);
             number = number(newest);
             file = newest;
-            found = Reading.of(newest, placer);
+            found = Reading.of(storage, newest, placer);
             if (!found.trouble().isEmpty()) {
                 LOG.warn("journal {} {}", newest, found.trouble());
             }
             if (!found.whole()) {
                 // kept for whoever looks into it; never read again
                 Path aside = newest.resolveSibling(newest.getFileName() + ".aside-" + System.currentTimeMillis());
-                Files.move(newest, aside);
+                storage.rename(newest, aside);
                 file = null;
                 LOG.warn("it is kept as {}", aside);
             }
         }
         read = found;
         restartTrouble = lacks(found);
-        writer = durability == Durability.DISK ? new Thread(this::write, "journal-" + placer) : null;
+        writer = threads && durability == Durability.DISK ? new Thread(this::write, "journal-" + placer) : null;
     }
 
     /**
@@ -123,7 +131,7 @@
             if (lock == null) {
                 throw new InUse(folder);
             }
-            return new JournalFile(folder, placer, durability, channel, lock);
+            return new JournalFile(folder, placer, durability, Storage.SYSTEM, System::nanoTime, true, channel);
         } catch (OverlappingFileLockException e) {
             channel.close();
             throw new InUse(folder);
@@ -135,10 +143,12 @@
 
     /** The journal files of a folder, oldest first. */
     public static List<Path> files(Path folder) throws IOException {
-        try (Stream<Path> all = Files.list(folder)) {
-            return all.filter(f -> f.getFileName().toString().matches("journal-\\d{1,18}\\.tfj"))
-                .sorted((a, b) -> Long.compare(number(a), number(b))).toList();
-        }
+        return files(Storage.SYSTEM, folder);
+    }
+
+    private static List<Path> files(Storage storage, Path folder) throws IOException {
+        return storage.list(folder).stream().filter(f -> f.getFileName().toString().matches("journal-\\d{1,18}\\.tfj"))
+            .sorted((a, b) -> Long.compare(number(a), number(b))).toList();
     }
 
     private static long number(Path file) {
@@ -172,7 +182,7 @@
     }
 
     /** Begins this life with a file that holds what still counts; from now on {@link #append} may be called. */
-    public synchronized void begin(Iterable<Promise> snapshot) throws IOException {
+    public void begin(Iterable<Promise> snapshot) throws IOException {
         rewrite(snapshot);
         if (writer != null) {
             writer.setDaemon(true);
@@ -193,7 +203,7 @@
     @Override
     public void append(Promise promise, Consumer<String> done) {
         byte[] octets = Lines.framed(Lines.of(promise));
-        if (durability == Durability.DISK) {
+        if (writer != null) {
             synchronized (queue) {
                 queue.add(new Pending(octets, done));
                 queue.notifyAll();
@@ -212,7 +222,7 @@
         if (closed) {
             return "the journal is closed";
         }
-        if (!trouble.isEmpty() && System.nanoTime() - triedAt < TRY_AGAIN_NANOS) {
+        if (!trouble.isEmpty() && nanos.getAsLong() - triedAt < TRY_AGAIN_NANOS) {
             return trouble;
         }
         try {
@@ -220,15 +230,11 @@
                 // guards against a half line in the middle: what a failed write left is cut off before the next
                 out.truncate(good);
             }
-            ByteBuffer buffer = ByteBuffer.wrap(octets);
-            long at = good;
-            while (buffer.hasRemaining()) {
-                at += out.write(buffer, at);
-            }
+            out.write(good, octets);
             if (durability == Durability.DISK) {
-                out.force(false);
+                out.force();
             }
-            good = at;
+            good += octets.length;
             if (meanwhile != null) {
                 meanwhile.addAll(lines);
             }
@@ -242,7 +248,7 @@
                 LOG.error("journal {} cannot be written: {}", file, e.getMessage());
             }
             trouble = "the journal cannot be written: " + e.getMessage();
-            triedAt = System.nanoTime();
+            triedAt = nanos.getAsLong();
             return trouble;
         }
     }
@@ -297,55 +303,76 @@
                 byte[] life = life();
                 put(life, List.of(life));
             }
-            if (closed || meanwhile != null || good < COMPACT_FROM || good < 2 * began || !trouble.isEmpty()) {
+            if (closed || meanwhile != null || good < compactFrom || good < 2 * began || !trouble.isEmpty()) {
                 return;
             }
             meanwhile = new ArrayList<>();
             lines = snapshot.get();
         }
         // off the caller's thread: what still counts may be many megabytes, and placing goes on meanwhile
-        Thread thread = new Thread(() -> {
-            try {
-                Path made = beside(lines);
-                synchronized (this) {
-                    take(made);
-                }
-            } catch (IOException e) {
-                LOG.error("journal {} could not be written anew and goes on growing: {}", file, e.getMessage());
-            } finally {
-                synchronized (this) {
-                    meanwhile = null;
-                }
-            }
-        }, "journal-compact-" + placer);
+        if (!threads) {
+            rewritten(lines);
+            return;
+        }
+        Thread thread = new Thread(() -> rewritten(lines), "journal-compact-" + placer);
         thread.setDaemon(true);
         thread.start();
     }
 
+    private void rewritten(Iterable<Promise> lines) {
+        try {
+            rewrite(lines);
+        } catch (IOException e) {
+            LOG.error("journal {} could not be written anew and goes on growing: {}", file, e.getMessage());
+        }
+    }
+
     private void rewrite(Iterable<Promise> lines) throws IOException {
-        meanwhile = new ArrayList<>();
+        Beside beside = null;
         try {
-            take(beside(lines));
+            beside = beside(lines);
+            synchronized (this) {
+                take(beside);
+            }
+        } catch (IOException e) {
+            if (beside != null && beside.out() != out) {
+                beside.out().close();
+            }
+            throw e;
         } finally {
-            meanwhile = null;
+            synchronized (this) {
+                meanwhile = null;
+            }
         }
     }
 
-    private Path beside(Iterable<Promise> lines) throws IOException {
+    /** A file made beside, open, of this size. */
+    private record Beside(Path path, Storage.Out out, long size) { }
+
+    private Beside beside(Iterable<Promise> lines) throws IOException {
         Path made = folder.resolve("journal-new.tmp");
-        try (FileChannel to = FileChannel.open(made, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING,
-            StandardOpenOption.WRITE)) {
-            ByteBuffer buffer = ByteBuffer.allocate(1 << 18);
-            buffer.put(Reading.MAGIC).put(Lines.framed(Header.newBuilder().setVersion(Reading.VERSION).setPlacer(placer)
-                .build()));
+        Storage.Out to = storage.create(made);
+        try {
+            ByteArrayOutputStream buffer = new ByteArrayOutputStream(PIECE);
+            buffer.write(Reading.MAGIC);
+            buffer.write(Lines.framed(Header.newBuilder().setVersion(Reading.VERSION).setPlacer(placer).build()));
+            long size = 0;
             for (Promise p : lines) {
-                buffer = room(to, buffer, Lines.framed(Lines.of(p)));
+                buffer.write(Lines.framed(Lines.of(p)));
+                if (buffer.size() >= PIECE) {
+                    to.write(size, buffer.toByteArray());
+                    size += buffer.size();
+                    buffer.reset();
+                }
             }
-            buffer = room(to, buffer, life());
-            drain(to, buffer);
-            to.force(true);
+            buffer.write(life());
+            to.write(size, buffer.toByteArray());
+            to.force();
+            return new Beside(made, to, size + buffer.size());
+        } catch (IOException e) {
+            to.close();
+            throw e;
         }
-        return made;
     }
 
     private byte[] life() {
@@ -353,67 +380,40 @@
             .build());
     }
 
-    private static ByteBuffer room(FileChannel to, ByteBuffer buffer, byte[] octets) throws IOException {
-        if (buffer.remaining() < octets.length) {
-            drain(to, buffer);
-        }
-        return buffer.put(octets);
-    }
-
-    private static void drain(FileChannel to, ByteBuffer buffer) throws IOException {
-        buffer.flip();
-        while (buffer.hasRemaining()) {
-            to.write(buffer);
-        }
-        buffer.clear();
-    }
-
     /** The file made beside takes over, with what was appended meanwhile. */
-    private void take(Path made) throws IOException {
+    private void take(Beside made) throws IOException {
         if (closed) {
-            return;
+            throw new IOException("the journal is closed");
         }
-        FileChannel next = FileChannel.open(made, StandardOpenOption.WRITE);
         Path named = folder.resolve("journal-" + (number + 1) + ".tfj");
-        long size = next.size();
-        try {
+        long size = made.size();
+        if (meanwhile != null) {
             for (byte[] line : meanwhile) {
-                ByteBuffer buffer = ByteBuffer.wrap(line);
-                while (buffer.hasRemaining()) {
-                    size += next.write(buffer, size);
-                }
-            }
-            next.force(true);
-            try {
-                Files.move(made, named, StandardCopyOption.ATOMIC_MOVE);
-            } catch (AtomicMoveNotSupportedException e) {
-                Files.move(made, named);
+                made.out().write(size, line);
+                size += line.length;
             }
-            forceFolder();
-        } catch (IOException e) {
-            next.close();
-            throw e;
         }
+        // whole on the disk before it has its name, and its name on the disk before the former file goes
+        made.out().force();
+        storage.rename(made.path(), named);
+        // from here on the new file is the newest, so it takes the lines whatever fails below
         Path former = file;
-        if (out != null) {
-            out.close();
-        }
-        out = next;
+        Storage.Out formerOut = out;
+        out = made.out();
         file = named;
         number++;
         good = size;
         began = size;
-        if (former != null) {
-            Files.deleteIfExists(former);
-        }
-    }
-
-    /** Guards against a power loss that forgets the file's new name. */
-    private void forceFolder() {
-        try (FileChannel dir = FileChannel.open(folder, StandardOpenOption.READ)) {
-            dir.force(true);
+        try {
+            storage.forceFolder(folder);
+            if (formerOut != null) {
+                formerOut.close();
+            }
+            if (former != null) {
+                storage.delete(former);
+            }
         } catch (IOException e) {
-            LOG.debug("this system does not force folders: {}", e.getMessage());
+            LOG.warn("journal {}: the former file stays: {}", named, e.getMessage());
         }
     }
 
@@ -425,8 +425,7 @@
                 if (out != null) {
                     out.close();
                 }
-                lock.release();
-                lockChannel.close();
+                lock.close();
             } catch (IOException e) {
                 LOG.warn("journal {} did not close well: {}", file, e.getMessage());
             }
--- a/state/src/main/java/thornferry/state/Reading.java
+++ b/state/src/main/java/thornferry/state/Reading.java
@@ -5,7 +5,6 @@
 import java.io.DataInputStream;
 import java.io.EOFException;
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -30,11 +29,15 @@
 
     /** @param placer whose journal it must be; null for anyone's */
     public static Reading of(Path file, String placer) throws IOException {
+        return of(Storage.SYSTEM, file, placer);
+    }
+
+    static Reading of(Storage storage, Path file, String placer) throws IOException {
         List<Promise> promises = new ArrayList<>();
         Life last = null;
         long good = MAGIC.length;
-        long size = Files.size(file);
-        try (DataInputStream in = new DataInputStream(new BufferedInputStream(Files.newInputStream(file), 1 << 16))) {
+        long size = storage.size(file);
+        try (DataInputStream in = new DataInputStream(new BufferedInputStream(storage.read(file), 1 << 16))) {
             byte[] magic = in.readNBytes(MAGIC.length);
             byte[] first = java.util.Arrays.equals(magic, MAGIC) ? next(in) : null;
             if (first == null) {
