--- a/standin/src/main/java/thornferry/standin/Day.java
+++ b/standin/src/main/java/thornferry/standin/Day.java
@@ -50,6 +50,7 @@
     private static final String AGENT = "day-agent";
     private static final String OPERATOR = "day-operator";
     private static final String PASSCODE = "day";
+    private static final long KILL_AGAIN_MS = 200;
 
     private final DayFile file;
     private final Capture capture;
@@ -310,7 +311,8 @@
     private void killPlacer(int p, long downMs) {
         Child placer = placers.get(p);
         if (!placer.alive()) {
-            return; // it is down already, or about to start
+            script.schedule(() -> killPlacer(p, downMs), KILL_AGAIN_MS, TimeUnit.MILLISECONDS); // once it is up again
+            return;
         }
         placer.kill();
         relays.get(p).closeAll();
@@ -326,7 +328,10 @@
         Child nodes = nodeProcesses.get(n);
         if (nodes.alive()) {
             nodes.kill();
+            capture.mark("nodes-killed", "");
             again("nodes " + n, downMs, () -> nodeProcesses.set(n, nodeProcess(n, false)));
+        } else {
+            script.schedule(() -> killNodes(n, downMs), KILL_AGAIN_MS, TimeUnit.MILLISECONDS);
         }
     }
 
--- a/standin/src/test/java/thornferry/standin/DayTest.java
+++ b/standin/src/test/java/thornferry/standin/DayTest.java
@@ -29,6 +29,25 @@
         assertThat(verdict.starts()).isGreaterThan(300);
     }
 
+    /** The day of kills made short: six lives, with nodes that die beside the placer, in a third of a minute. */
+    @Test
+    void aPlacerKilledWithAndWithoutItsNodesStartsNoUnsafeTaskTwice() throws Exception {
+        String text = Files.readString(Path.of("../examples/days/many-kills.toml"));
+        text = text.replace("\nseconds = 610", "\nseconds = 14").replace("quiet-seconds = 40", "quiet-seconds = 10")
+            .replace("per-second = 65.0", "per-second = 25.0").replace("count = 18", "count = 6")
+            .replace("patience-ms = 20000", "patience-ms = 8000")
+            .replace("every-ms = 4500\ntimes = 134", "every-ms = 4500\ntimes = 3")
+            .replace("every-ms = 9000\ntimes = 66", "every-ms = 5500\ntimes = 2");
+        Path script = Files.writeString(folder.resolve("kills.toml"), text);
+        Path capture = folder.resolve("kills.jsonl");
+        Day.Outcome outcome = Day.play(DayFile.read(script), capture);
+        Auditor.Verdict verdict = Auditor.audit(capture, 1_000_000);
+        assertThat(verdict.breaches()).isEmpty();
+        assertThat(outcome.moduleFailures()).isZero();
+        assertThat(Files.readString(capture).split("placer-killed", -1)).hasSize(6); // five kills
+        assertThat(verdict.starts()).isGreaterThan(100);
+    }
+
     private static void complains(String from, String to, String... parts) throws Exception {
         String text = Files.readString(SHORT);
         assertThat(text).contains(from);
