--- /dev/null
+++ b/placer/src/test/java/thornferry/placer/PromisesTest.java
@@ -0,0 +1,233 @@
+package thornferry.placer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import thornferry.decisions.Attempts.Word;
+import thornferry.decisions.Fleet;
+import thornferry.decisions.Intake;
+import thornferry.decisions.LineSettings;
+import thornferry.decisions.Membership;
+import thornferry.decisions.Placement;
+import thornferry.decisions.Placement.Effect;
+import thornferry.decisions.Policy;
+import thornferry.decisions.Reasons;
+import thornferry.decisions.recovery.Promise;
+import thornferry.decisions.recovery.Recovery;
+import thornferry.protocol.FrameLimits;
+import thornferry.protocol.Heartbeat;
+import thornferry.state.Journal;
+
+/** An offer of what must not start twice leaves only when its promise is durable, and only if it still should. */
+class PromisesTest implements Core.Out {
+    private static final long MS = 1_000;
+    private static final long SECOND = 1_000_000;
+
+    private final EmbeddedChannel channel = new EmbeddedChannel();
+    private final List<Promise> written = new ArrayList<>();
+    private final List<Consumer<String>> unacknowledged = new ArrayList<>();
+    private final List<String> offers = new ArrayList<>(); // attempts
+    private final List<Intake.News> news = new ArrayList<>();
+    private final List<String> withdrawn = new ArrayList<>();
+    private String trouble = "";
+    private long now = 1_000 * SECOND;
+    private Core core;
+
+    private final Journal slow = new Journal() {
+        @Override
+        public void append(Promise promise, Consumer<String> done) {
+            written.add(promise);
+            unacknowledged.add(done);
+        }
+
+        @Override
+        public void compact(Supplier<Iterable<Promise>> snapshot) {
+            // never large here
+        }
+
+        @Override
+        public String trouble() {
+            return trouble;
+        }
+
+        @Override
+        public void close() {
+            // nothing is open
+        }
+    };
+
+    @BeforeEach
+    void start() {
+        channel.freezeTime();
+        Placement.TaskClass levy = new Placement.TaskClass("levy-run", Effect.UNSAFE, Placement.Scope.ZONE, 0, SECOND,
+            8 * SECOND, 1, 0.1, 12, 1, 1, 0, -1, Placement.Scope.NONE, 1);
+        Placement.TaskClass safe = new Placement.TaskClass("safe", Effect.SAFE, Placement.Scope.ZONE, 0, SECOND, 8 * SECOND, 1,
+            0.1, 12, 1, 1, 0, -1, Placement.Scope.NONE, 1);
+        Placement.Settings settings = new Placement.Settings(1, 0, 1, "a", List.of(levy, safe),
+            List.of(new Placement.MachineKind("std", 16, 16)), List.of(), Placement.Reports.WITH_ANSWERS,
+            List.of("x0", "x1", "waiting"), false, true, false, false, true, false, false, 1, 1, 1, 1, 1, 3 * SECOND,
+            new Placement.Prices(0, 0.08, 0.03, 0, 0.004, 0.004, 0.02, 2),
+            new Placement.Rules(8 * MS, 500 * MS, 0, 0.25, 0, 2, 3 * SECOND, 48),
+            new Placement.Limits(true, true, true, false, 4, 30 * SECOND));
+        Site site = new Site("p", settings, 1, List.of(), new Membership.Limits(4 * SECOND, 1_000, 30 * SECOND, 5 * SECOND, 100),
+            new Intake.Limits(1_000, 10_000, 60 * SECOND, 30 * SECOND, 3 * SECOND, SECOND, 8 * SECOND),
+            LineSettings.usual(), null, FrameLimits.USUAL, Heartbeat.NONE, 5_000, 100, Site.State.NONE);
+        core = new Core(site, 0, "p-0", channel.eventLoop(), () -> now, Policy::new, owner -> "",
+            new Core.Kept(slow, List.of(), true), this);
+        channel.runPendingTasks();
+        core.registered(1, new Membership.Registration("n", 5, "std", "a", 1, 16, 16, 3_600 * SECOND, 16, 16), List.of(),
+            List.of(), List.of(), new EnumMap<>(Map.of(Effect.UNSAFE, Recovery.Testimony.ITS_WHOLE_LIFE)));
+        pass(100 * MS);
+    }
+
+    private void pass(long time) {
+        for (long end = now + time; now < end;) {
+            now += 20 * MS;
+            channel.advanceTimeBy(20, TimeUnit.MILLISECONDS);
+            channel.runPendingTasks();
+            core.tick();
+            channel.runPendingTasks();
+        }
+    }
+
+    private void ask(String cls) throws Intake.Unacceptable {
+        core.ask("o", new Intake.Wish("t", cls, "s", "", 1, 1, 2 * SECOND, 0));
+        channel.runPendingTasks();
+        pass(60 * MS);
+    }
+
+    private void acknowledge(String wrong) {
+        List<Consumer<String>> all = List.copyOf(unacknowledged);
+        unacknowledged.clear();
+        all.forEach(d -> d.accept(wrong));
+        channel.runPendingTasks();
+    }
+
+    @Test
+    void anUnsafeOfferWaitsForItsPromiseAndAResultForItsOwn() throws Exception {
+        ask("levy-run");
+        assertThat(written).singleElement().isInstanceOf(Promise.Offered.class);
+        assertThat(offers).isEmpty();
+        acknowledge(null);
+        assertThat(offers).hasSize(1);
+        core.said("n", new Core.Said(offers.get(0), Word.ACCEPTED, Fleet.Said.NONE, false, null));
+        assertThat(written.get(1)).isInstanceOf(Promise.Answered.class);
+        assertThat(news).isEmpty();
+        acknowledge(null);
+        assertThat(news).singleElement().returns(Intake.Result.PLACED, Intake.News::result);
+    }
+
+    @Test
+    void aSafeOfferWaitsForNothing() throws Exception {
+        ask("safe");
+        assertThat(offers).hasSize(1);
+        assertThat(written).isEmpty();
+    }
+
+    @Test
+    void anOfferWhoseOwnerStoppedItMeanwhileIsNeverSent() throws Exception {
+        ask("levy-run");
+        core.stop("o", "t");
+        acknowledge(null);
+        pass(100 * MS);
+        assertThat(offers).isEmpty();
+        assertThat(withdrawn).isEmpty(); // the node never heard of it
+        assertThat(written).anyMatch(p -> p instanceof Promise.NeverRan);
+    }
+
+    @Test
+    void anOfferToANodeThatBeganToDrainMeanwhileIsNeverSent() throws Exception {
+        ask("levy-run");
+        core.drain("n", true);
+        acknowledge(null);
+        pass(3 * SECOND);
+        acknowledge(null);
+        assertThat(offers).isEmpty();
+        assertThat(news).last().returns(Intake.Result.REFUSED, Intake.News::result); // it never ran: that is harmless
+    }
+
+    @Test
+    void anOfferWhoseNodeReconnectedMeanwhileIsNotSentUnderItsOldName() throws Exception {
+        ask("levy-run");
+        core.linkClosed(1);
+        core.registered(2, new Membership.Registration("n", 5, "std", "a", 1, 16, 16, 3_600 * SECOND, 16, 16), List.of(),
+            List.of(), List.of(), Map.of(Effect.UNSAFE, Recovery.Testimony.ITS_WHOLE_LIFE));
+        String first = ((Promise.Offered) written.get(0)).attempt();
+        acknowledge(null);
+        pass(500 * MS);
+        acknowledge(null);
+        assertThat(offers).doesNotContain(first);
+    }
+
+    @Test
+    void withoutAJournalThatWritesUnsafeAsksAreRefusedWithTheReasonAndSafeOnesGoOn() throws Exception {
+        ask("levy-run");
+        trouble = "the journal cannot be written: No space left on device";
+        acknowledge(trouble);
+        pass(3 * SECOND);
+        assertThat(offers).isEmpty();
+        assertThat(news).last().returns(Intake.Result.REFUSED, Intake.News::result);
+        core.ask("o", new Intake.Wish("u", "levy-run", "s", "", 1, 1, 2 * SECOND, 0));
+        assertThat(news).last().returns("u", Intake.News::task).returns(trouble, Intake.News::reason);
+        core.ask("o", new Intake.Wish("v", "safe", "s", "", 1, 1, 2 * SECOND, 0));
+        pass(500 * MS);
+        assertThat(offers).hasSize(1);
+        trouble = "";
+        pass(200 * MS);
+        core.ask("o", new Intake.Wish("w", "levy-run", "s", "", 1, 1, 2 * SECOND, 0));
+        pass(500 * MS);
+        acknowledge(null);
+        assertThat(offers).hasSize(2);
+    }
+
+    // ---- what comes out ----
+    @Override
+    public boolean offer(String machine, String attempt, Intake.Offered of) {
+        offers.add(attempt);
+        return true;
+    }
+
+    @Override
+    public void withdraw(String machine, String attempt) {
+        withdrawn.add(attempt);
+    }
+
+    @Override
+    public boolean probe(String machine, long number) {
+        return true;
+    }
+
+    @Override
+    public void tellDrain(String machine, boolean on) {
+        // not looked at here
+    }
+
+    @Override
+    public void welcome(String machine, long remember) {
+        // not looked at here
+    }
+
+    @Override
+    public void deliver(Intake.News n) {
+        news.add(n);
+    }
+
+    @Override
+    public void closeLink(long link, String why) {
+        throw new AssertionError(why);
+    }
+
+    @Override
+    public void changed(Reasons.Changed changed) {
+        // nobody watches
+    }
+}
--- a/state/src/main/java/thornferry/state/JournalFile.java
+++ b/state/src/main/java/thornferry/state/JournalFile.java
@@ -89,7 +89,7 @@
         this.threads = threads;
         this.lock = lock;
         List<Path> files = files(storage, folder);
-        Reading found = new Reading(List.of(), true, false, "", null, 0);
+        Reading found = new Reading(placer, List.of(), true, false, "", null, 0);
         if (!files.isEmpty()) {
             Path newest = files.get(files.size() - 1);
             number = number(newest);
--- a/state/src/main/java/thornferry/state/Reading.java
+++ b/state/src/main/java/thornferry/state/Reading.java
@@ -17,13 +17,14 @@
  * What stands in one journal file: its lines up to the first that is not whole. Read piece by piece, so that a file of
  * any size costs no more memory than its good lines.
  *
+ * @param placer  whose it is; empty where that cannot be read
  * @param whole   nothing is lacking but, at most, a last line that was being written
  * @param trouble what is wrong, empty for nothing; with {@code foreign} the lines are not ours to use
  * @param foreign of another placer, of a later version, or no journal at all
  * @param last    the last start of a placer with it; null where there was none
  * @param good    octets up to the end of the last whole line
  */
-public record Reading(List<Promise> promises, boolean whole, boolean foreign, String trouble, Life last, long good) {
+public record Reading(String placer, List<Promise> promises, boolean whole, boolean foreign, String trouble, Life last, long good) {
     static final int VERSION = 1;
     static final byte[] MAGIC = {'T', 'F', 'J', '\n'};
 
@@ -55,7 +56,7 @@
                 byte[] body = next(in);
                 if (body == null) {
                     boolean torn = restIsNoLine(in);
-                    return new Reading(promises, torn, false, (torn ? "its last line was not whole and is cut off"
+                    return new Reading(header.getPlacer(), promises, torn, false, (torn ? "its last line was not whole and is cut off"
                         : "is damaged") + " at octet " + good + " of " + size, last, good);
                 }
                 Line line = Line.parseFrom(body);
@@ -66,14 +67,14 @@
                 }
                 good += Lines.PREFIX + body.length;
             }
-            return new Reading(promises, true, false, "", last, good);
+            return new Reading(header.getPlacer(), promises, true, false, "", last, good);
         } catch (InvalidProtocolBufferException e) {
             return foreign(e.getMessage());
         }
     }
 
     private static Reading foreign(String why) {
-        return new Reading(List.of(), false, true, why, null, 0);
+        return new Reading("", List.of(), false, true, why, null, 0);
     }
 
     /** The next body, or null where no whole line follows. */
