--- a/app/src/main/java/thornferry/app/LoadCommand.java
+++ b/app/src/main/java/thornferry/app/LoadCommand.java
@@ -14,7 +14,9 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.Callable;
 import org.HdrHistogram.Histogram;
 import picocli.CommandLine;
@@ -26,6 +28,7 @@
 import thornferry.standin.Capture;
 import thornferry.standin.Load;
 import thornferry.standin.Relay;
+import thornferry.state.Durability;
 
 @Command(name = "load", description = "Measure a placer, in a process of its own, under open-loop load.",
     footer = {"", "Examples:", "  thornferry load --rate 130 --seconds 60 --clients 20 --vanish-every 0.5 --audit",
@@ -75,6 +78,10 @@
     @Option(names = "--no-line", description = "Without waiting line and reasons, to see what they cost.")
     boolean noLine;
 
+    @Option(names = "--durability", defaultValue = "none",
+        description = "Of the placer's promises: ${COMPLETION-CANDIDATES}; ${DEFAULT-VALUE}.")
+    Durability durability;
+
     @Option(names = "--json", description = "A line of JSON for each step.")
     boolean json;
 
@@ -117,7 +124,9 @@
 
     private int startAndLoad() throws Exception {
         Path config = Files.createTempFile("thornferry-load", ".toml");
-        Files.writeString(config, site());
+        Path state = Files.createTempDirectory("thornferry-load-state");
+        Files.writeString(config, site() + "[state]\ndurability = \"" + durability.name().toLowerCase(Locale.ROOT)
+            + "\"\nfolder = \"" + state + "\"\n");
         SiteFile site = SiteFile.of(TomlFile.read(config));
         Process placer = start(config);
         Path captureFile = Files.createTempFile("thornferry-load", ".jsonl");
@@ -153,7 +162,11 @@
         } finally {
             relays.forEach(Relay::close);
             placer.destroy();
+            placer.waitFor();
             Files.deleteIfExists(config);
+            try (var all = Files.walk(state)) {
+                all.sorted(Comparator.reverseOrder()).forEach(f -> f.toFile().delete());
+            }
         }
         if (audit) {
             code = Math.max(code, AuditCommand.print(captureFile, Auditor.audit(captureFile, 250_000)));
@@ -225,6 +238,7 @@
                 .put("levyTwice", r.levyTwice()).put("cpuMicrosPerTask", Math.round(perTask))
                 .put("residentMb", megabytes);
             o.set("toOfferMicros", percentiles(r.toOffer()));
+            o.set("toPromisedOfferMicros", percentiles(r.toPromisedOffer()));
             o.set("toResultMicros", percentiles(r.toResult()));
             System.out.println(o);
             return;
@@ -235,6 +249,8 @@
         System.out.printf("  SEND to result %s%n", line(r.toResult()));
         if (r.toOffer().getTotalCount() > 0) {
             System.out.printf("  SEND to offer  %s%n", line(r.toOffer()));
+            System.out.printf("    keyed and unsafe, promised first (durability %s): %s%n", durability.name()
+                .toLowerCase(Locale.ROOT), line(r.toPromisedOffer()));
         }
         if (megabytes >= 0) {
             System.out.printf("  placer: %.0f us CPU a task, %d MB resident%n", perTask, megabytes);
--- a/app/src/main/java/thornferry/app/Main.java
+++ b/app/src/main/java/thornferry/app/Main.java
@@ -9,14 +9,16 @@
 import thornferry.config.ConfigException;
 
 /** The command line. Exit codes: 0 good, 1 the run failed, 2 bad use or configuration; submit has more. */
-@Command(name = "thornferry", mixinStandardHelpOptions = true, version = "thornferry 0.2.0",
+@Command(name = "thornferry", scope = ScopeType.INHERIT, mixinStandardHelpOptions = true, version = "thornferry 0.2.0",
     description = "Places long-running work on the machines of a cluster.",
     synopsisSubcommandLabel = "COMMAND",
     footer = {"", "First steps:", "  thornferry demo", "  thornferry submit --class gauge-relay",
         "", "Exit codes: 0 good, 1 the run failed, 2 bad use or configuration."},
     subcommands = {DemoCommand.class, PlacerCommand.class, AgentCommand.class, SubmitCommand.class,
-        StopCommand.class, WhyCommand.class, WaitingCommand.class, LimitsCommand.class, NodesCommand.class, DrainCommand.class, DayCommand.class, AuditCommand.class,
-        LoadCommand.class, OverloadCommand.class, ConfigCommand.class, KeysCommand.class, SimHostCommand.class})
+        StopCommand.class, WhyCommand.class, WaitingCommand.class, LimitsCommand.class,
+        NodesCommand.class, DrainCommand.class, DayCommand.class, AuditCommand.class,
+        LoadCommand.class, OverloadCommand.class, ConfigCommand.class, KeysCommand.class, StateCommand.class,
+        SimHostCommand.class})
 public final class Main implements Runnable {
     static final int FAILED = 1;
     static final int BAD_USE = 2;
--- a/app/src/main/java/thornferry/app/PlacerOptions.java
+++ b/app/src/main/java/thornferry/app/PlacerOptions.java
@@ -31,8 +31,8 @@
     @Option(names = "--port", defaultValue = "61613", description = "Of the placer; ${DEFAULT-VALUE}.")
     int port;
 
-    @Option(names = "--login", defaultValue = "${env:THORNFERRY_LOGIN:-demo}",
-        description = "THORNFERRY_LOGIN, else demo.")
+    @Option(names = "--login", defaultValue = "${env:THORNFERRY_LOGIN:-}",
+        description = "THORNFERRY_LOGIN; else that of --cert, else demo.")
     String login;
 
     @Option(names = "--passcode", defaultValue = "${env:THORNFERRY_PASSCODE:-demo}",
@@ -43,7 +43,9 @@
     TlsOptions tls;
 
     ClientConnection.Target target() throws IOException {
-        return new ClientConnection.Target(address(), login, tls.certified() ? null : passcode, new Heartbeat(2_000, 2_000),
+        // with a certificate and no word of a login, the certificate tells who it is
+        String who = login != null && !login.isEmpty() ? login : tls.certified() ? null : "demo";
+        return new ClientConnection.Target(address(), who, tls.certified() ? null : passcode, new Heartbeat(2_000, 2_000),
             tls.context());
     }
 
--- a/app/src/test/java/thornferry/app/CommandLineTest.java
+++ b/app/src/test/java/thornferry/app/CommandLineTest.java
@@ -9,10 +9,26 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import thornferry.agent.AgentPool;
+import thornferry.agent.Behaviour;
+import thornferry.agent.NodeAgent;
+import thornferry.agent.NodeShape;
+import thornferry.config.SiteFile;
+import thornferry.decisions.Intake.Wish;
+import thornferry.decisions.Placement.Effect;
+import thornferry.decisions.recovery.Promise;
+import thornferry.placer.Placer;
+import thornferry.protocol.Heartbeat;
+import thornferry.security.Tls;
+import thornferry.state.Durability;
+import thornferry.state.JournalFile;
 
 /** The commands as a user gives them: what is printed where, and the exit codes. */
 class CommandLineTest {
@@ -210,4 +226,101 @@
             System.setIn(in);
         }
     }
+
+    @Test
+    void theStateOfAPlacerIsShownCheckedAndCompactedWithoutIt() throws Exception {
+        Path state = folder;
+        Path instance = state.resolve("p-0");
+        Wish wish = new Wish("t-1", "levy-run", "s", "", 1, 1, null, 0);
+        try (JournalFile journal = JournalFile.open(instance, "p-0", Durability.OS)) {
+            journal.begin(List.of());
+            for (int i = 0; i < 3; i++) {
+                journal.append(new Promise.Offered(1, "a" + i, "depot1", "", wish, Effect.UNSAFE, "n1", 7), wrong -> { });
+                journal.append(new Promise.NeverRan(2, "depot1", "t-1", "a" + i), wrong -> { });
+            }
+            journal.append(new Promise.Offered(3, "a9", "depot1", "", wish, Effect.UNSAFE, "n2", 7), wrong -> { });
+            assertThat(run("state", "compact", instance.toString()).code()).isEqualTo(1); // it is in use
+        }
+        assertThat(run("state", "show", state.toString(), "--tasks").out()).contains("placer p-0, 7 lines, {offered=1}")
+            .contains("t-1").contains("n2");
+        assertThat(run("state", "verify", state.toString())).returns(0, Ran::code);
+        assertThat(run("state", "compact", instance.toString()).out()).contains("7 lines before, 1 now");
+        Path newest = JournalFile.files(instance).get(0);
+        byte[] octets = Files.readAllBytes(newest);
+        octets[30] ^= 1;
+        Files.write(newest, octets);
+        assertThat(run("state", "verify", state.toString())).returns(1, Ran::code);
+        assertThat(run("state", "show", state.resolve("nowhere").toString()).err()).contains("is no folder");
+    }
+
+    @Test
+    void everyCommandTellsItsHelpOnStandardOutput() {
+        List<List<String>> commands = new ArrayList<>();
+        collect(new picocli.CommandLine(new Main()), List.of(), commands);
+        assertThat(commands).hasSizeGreaterThan(30);
+        for (List<String> command : commands) {
+            for (String word : new String[] {"--help", "-h"}) {
+                List<String> line = new ArrayList<>(command);
+                line.add(word);
+                Ran help = run(line.toArray(new String[0]));
+                assertThat(help.code()).as("%s", line).isZero();
+                assertThat(help.out()).as("%s", line).startsWith(("Usage: thornferry " + String.join(" ", command)).strip());
+                assertThat(help.err()).as("%s", line).isEmpty();
+            }
+        }
+    }
+
+    private static void collect(picocli.CommandLine at, List<String> path, List<List<String>> into) {
+        into.add(path);
+        at.getSubcommands().forEach((name, command) -> {
+            List<String> deeper = new ArrayList<>(path);
+            deeper.add(name);
+            collect(command, deeper, into);
+        });
+    }
+
+    /** From `keys init` to the first `submit`, as the README shows it: no login is ever given. */
+    @Test
+    void withACertificateNoLoginIsNeeded() throws Exception {
+        String dir = folder.resolve("keys").toString();
+        for (String[] made : new String[][] {{"init"}, {"server", "placer-0"}, {"owner", "depot1"}, {"operator", "ops"},
+            {"agent", "node"}}) {
+            List<String> line = new ArrayList<>(List.of("keys"));
+            line.addAll(List.of(made));
+            line.addAll(List.of("--dir", dir));
+            assertThat(run(line.toArray(new String[0])).code()).isZero();
+        }
+        Path file = folder.resolve("site.toml");
+        Files.writeString(file, Files.readString(Path.of("../examples/site.toml")).replace("settle-ms = 3000", "settle-ms = 0")
+            + "[tls]\ncertificate = \"keys/placer-0.pem\"\nkey = \"keys/placer-0.key\"\nauthorities = \"keys/ca.pem\"\n"
+            + "client-certificates = \"wanted\"\n");
+        SiteFile site = SiteFile.read(file);
+        try (Placer placer = Placer.start(site.site(), "127.0.0.1", 0, 1); AgentPool nodes = new AgentPool(1, Tls.client(
+            new Tls.Pem(Path.of(dir, "node.pem"), Path.of(dir, "node.key"), Path.of(dir, "ca.pem"))))) {
+            String at = Integer.toString(placer.addresses().get(0).getPort());
+            nodes.add(new NodeShape("n1", "std-node", "hall-a", 0, 24, 48), Behaviour.usual(Map.of()),
+                List.of(placer.addresses().get(0)), null, null, new Heartbeat(500, 500), 1, NodeAgent.Watcher.NONE);
+            String[] operator = {"--port", at, "--ca", dir + "/ca.pem", "--cert", dir + "/ops.pem"};
+            String[] owner = {"--port", at, "--ca", dir + "/ca.pem", "--cert", dir + "/depot1.pem"};
+            for (int i = 0; i < 100 && !with(operator, "nodes").out().contains("n1"); i++) {
+                Thread.sleep(100);
+            }
+            assertThat(with(operator, "nodes").out()).containsPattern("n1 +ready");
+            assertThat(with(owner, "submit", "--class", "gauge-relay", "--id", "c1").out()).contains("task c1 placed on n1");
+            assertThat(with(owner, "why", "c1").out()).contains("c1");
+            assertThat(with(owner, "waiting").code()).isZero();
+            assertThat(with(owner, "limits").out()).contains("depot1");
+            assertThat(with(operator, "limits").out()).contains("site");
+            assertThat(with(operator, "drain", "n1").code()).isZero();
+            assertThat(with(operator, "drain", "n1", "--off").code()).isZero();
+            assertThat(with(owner, "stop", "c9").err()).contains("no task c9 of yours");
+            assertThat(with(owner, "drain", "n1").err()).contains("login depot1 may not use");
+        }
+    }
+
+    private static Ran with(String[] options, String... command) {
+        List<String> line = new ArrayList<>(List.of(command));
+        line.addAll(List.of(options));
+        return run(line.toArray(new String[0]));
+    }
 }
