A node's long memory tells nobody of an end twice; why names the awaited node

Need: found on rereading: a node remembers longer than the placer keeps results, so that each restart, or with none each reconnect, would have told owners again of tasks that ended minutes ago; with none, promises were kept in memory that nobody reads; a subscriber could hear of a result whose promise was still on its way to the disk; forgetting early scanned all that runs. Change: recent answers carry endedMsAgo; Recovery says whether an owner may have been told, and then the end is kept for one who asks and told to nobody else. Undelivered news leave out what waits for its promise. `why` of an ask in doubt names its node.

--- a/agent/src/main/java/thornferry/agent/Memory.java
+++ b/agent/src/main/java/thornferry/agent/Memory.java
@@ -25,7 +25,11 @@
     /** Octets that a registration may hold of them: half of a usual frame, the rest is for the inventory. */
     static final int MOST_OCTETS = 512 << 10;
 
-    private record Entry(long at, Answer answer) { }
+    private record Entry(long at, Answer answer) {
+        Answer told(long now) {
+            return answer.toBuilder().setEndedMsAgo((now - at) / 1_000).build();
+        }
+    }
 
     private final ArrayDeque<Entry> passing = new ArrayDeque<>();
     private final Map<Effect, ArrayDeque<Entry>> kept = new EnumMap<>(Effect.class);
@@ -58,7 +62,7 @@
     /** Tells it all, as far as it fits, newest before older. */
     void tell(long now, Register.Builder register) {
         passing.removeIf(e -> e.at() < now - SAID_AGAIN);
-        passing.forEach(e -> register.addRecent(e.answer()));
+        passing.forEach(e -> register.addRecent(e.told(now)));
         int room = MOST_OCTETS;
         for (Effect effect : List.of(Effect.UNSAFE, Effect.KEYED)) {
             ArrayDeque<Entry> entries = kept.getOrDefault(effect, new ArrayDeque<>());
@@ -69,12 +73,13 @@
             List<Answer> fitting = new ArrayList<>();
             for (Iterator<Entry> newest = entries.descendingIterator(); newest.hasNext();) {
                 Entry e = newest.next();
-                room -= e.answer().getSerializedSize() + 4;
+                Answer told = e.told(now);
+                room -= told.getSerializedSize() + 4;
                 if (room < 0) {
                     lacks = e.at();
                     break;
                 }
-                fitting.add(e.answer());
+                fitting.add(told);
             }
             Collections.reverse(fitting);
             register.addAllRecent(fitting);
--- a/app/src/main/java/thornferry/app/StateCommand.java
+++ b/app/src/main/java/thornferry/app/StateCommand.java
@@ -51,7 +51,7 @@
     }
 
     private static Recovery recovery(List<Promise> promises) {
-        Recovery recovery = new Recovery(new Recovery.Limits(EVER, EVER, EVER, Integer.MAX_VALUE));
+        Recovery recovery = new Recovery(new Recovery.Limits(EVER, EVER, EVER, Integer.MAX_VALUE, true));
         promises.forEach(recovery::note);
         return recovery;
     }
--- a/decisions/src/main/java/thornferry/decisions/Intake.java
+++ b/decisions/src/main/java/thornferry/decisions/Intake.java
@@ -67,8 +67,9 @@
 
     public sealed interface Action { }
 
-    /** A task is asked for and waits; {@code settling} for machines to say what runs. */
-    public record Waits(String owner, String tenant, Wish wish, boolean keyed, boolean settling) implements Action { }
+    /** A task is asked for and waits; {@code settling} for machines to say what runs, {@code doubted} what it did. */
+    public record Waits(String owner, String tenant, Wish wish, boolean keyed, boolean settling, boolean doubted)
+        implements Action { }
 
     /** Into the line, to be placed before {@code deadline}; {@code turnedBy} turned it down last, empty for none. */
     public record Hand(Ask ask, String owner, Wish wish, double worth, long deadline, String turnedBy)
@@ -228,7 +229,7 @@
         e.deadline = now + Math.min(limits.mostPatience(), wish.patience() == null ? cls.deadline() : wish.patience());
         e.doubted = doubt == Doubt.HELD;
         boolean settles = e.doubted || now < settleUntil && cls.effect() == Effect.UNSAFE;
-        actions.accept(new Waits(owner, tenant, wish, cls.effect() == Effect.KEYED, settles));
+        actions.accept(new Waits(owner, tenant, wish, cls.effect() == Effect.KEYED, settles, e.doubted));
         if (inHand >= limits.inHand()) {
             answer(now, e, Result.REFUSED, "", "the placer has as many tasks in hand as it may: " + limits.inHand(),
                 retryAfter(e), actions);
@@ -450,8 +451,12 @@
         }
     }
 
-    /** A former life placed the task on this machine, and it is over: the result of an ask that waits for it. */
-    public void ran(long now, String owner, String tenant, Wish wish, String machine, Fate fate,
+    /**
+     * A former life placed the task on this machine, and it is over: the result of an ask that waits for it.
+     *
+     * @param told its owner may have been told before: without an ask that waits it is kept, and nothing is said
+     */
+    public void ran(long now, String owner, String tenant, Wish wish, String machine, Fate fate, boolean told,
                     Consumer<Action> actions) {
         Entry e = entries.get(key(owner, wish.id()));
         if (e == null && !classes.containsKey(wish.taskClass()) || ownAnswer(e)) {
@@ -460,6 +465,9 @@
         if (e != null && !e.answered()) {
             abandon(e, actions);
             answer(now, e, Result.PLACED, machine, "it ran already", 0, actions);
+        } else if (told && (e == null || !e.unconfirmed)) {
+            restore(now, owner, tenant, wish, Result.PLACED, machine, "it ran already", fate);
+            return;
         } else if (e == null || !e.unconfirmed) {
             restore(now, owner, tenant, wish, Result.PLACED, machine, "it ran already", null);
             e = entries.get(key(owner, wish.id()));
--- a/decisions/src/main/java/thornferry/decisions/Reasons.java
+++ b/decisions/src/main/java/thornferry/decisions/Reasons.java
@@ -119,6 +119,7 @@
         boolean keyed;
         State state = State.WAITING;
         boolean settling;
+        String suspect = "";
         String request;
         Held held;
         String at = ""; // the machine of the attempt that is out, or the placed one
@@ -184,8 +185,14 @@
     }
 
     // ---- what happens to a task ----
-    /** A task is asked for and waits. {@code settling}: for machines to say what runs, after a start of the placer. */
-    public void asked(long now, String owner, String tenant, String task, String key, boolean keyed, boolean settling) {
+    /**
+     * A task is asked for and waits.
+     *
+     * @param settling for machines to say what runs, after a start of the placer
+     * @param suspect  the machine that may have run it before that start, whose word is lacking; empty for none
+     */
+    public void asked(long now, String owner, String tenant, String task, String key, boolean keyed, boolean settling,
+                      String suspect) {
         if (!limits.on()) {
             return;
         }
@@ -194,6 +201,7 @@
         r.key = key;
         r.keyed = keyed;
         r.settling = settling;
+        r.suspect = suspect;
         r.state = State.WAITING;
         r.since = now;
         r.asks++;
@@ -391,6 +399,10 @@
 
     // ---- deriving ----
     private Reason derive(long now, Record r) {
+        if (r.settling && !r.suspect.isEmpty()) {
+            return reason(Kind.PROOF, List.of(new Evidence("it may have run there before the placer was started anew", r.suspect,
+                1, Double.NaN, Double.NaN)), "the node has said what became of it, or patience ends");
+        }
         if (r.settling) {
             return reason(Kind.PROOF, List.of(new Evidence("the placer has just started", 0)),
                 "nodes have said what runs, or the settle time is over");
--- a/decisions/src/main/java/thornferry/decisions/recovery/Recovery.java
+++ b/decisions/src/main/java/thornferry/decisions/recovery/Recovery.java
@@ -39,8 +39,9 @@
      * @param askedFor an owner may ask again for so long after an offer: the longest patience
      * @param goneAfter a machine that has not registered so long after the start is gone, and what it ran is lost
      * @param most     tasks remembered at once; beyond it the oldest that are over are forgotten
+     * @param journaled whether a whole journal tells what former lives promised
      */
-    public record Limits(long keepFor, long askedFor, long goneAfter, int most) {
+    public record Limits(long keepFor, long askedFor, long goneAfter, int most, boolean journaled) {
         public Limits {
             if (keepFor <= 0 || askedFor <= 0 || goneAfter <= 0 || most < 1) {
                 throw new IllegalArgumentException("recovery limits must be above 0");
@@ -63,8 +64,8 @@
         MAY_HAVE_RUN
     }
 
-    /** What a machine remembers of an attempt that is over there. */
-    public record Recalled(String attempt, String owner, Wish wish, Effect effect, Word word, boolean ran) { }
+    /** What a machine remembers of an attempt that is over there since {@code endedAt}. */
+    public record Recalled(String attempt, String owner, Wish wish, Effect effect, Word word, boolean ran, long endedAt) { }
 
     /**
      * What a machine says when it registers: what it holds, what it remembers, and since when it remembers all that it
@@ -81,8 +82,12 @@
     public record Restored(String owner, String tenant, Wish wish, Result result, String machine, String reason,
                            Fate fate) implements Action { }
 
-    /** The task was placed in a former life, on this machine, and is over. */
-    public record Ran(String owner, String tenant, Wish wish, String machine, Fate fate) implements Action { }
+    /**
+     * The task was placed in a former life, on this machine, and is over.
+     *
+     * @param told its owner may have been told so already: where nobody asks, it is kept and not told again
+     */
+    public record Ran(String owner, String tenant, Wish wish, String machine, Fate fate, boolean told) implements Action { }
 
     /** The task started in a former life and did not run to its end: its result is a failure. */
     public record Failed(String owner, String tenant, Wish wish, String reason) implements Action { }
@@ -119,6 +124,8 @@
         }
     }
 
+    /** Entries looked at for one to forget early: enough, as the oldest are nearly all over. */
+    private static final int LOOKED_AT = 64;
     private static final String STOPPED_BY_PLACER = "it had started and was withdrawn";
 
     private final Limits limits;
@@ -184,7 +191,8 @@
         forgettable.remove(key);
         forgettable.add(key);
         if (known.size() > limits.most()) {
-            known.values().stream().filter(x -> x.finished != null).findFirst().ifPresent(this::remove);
+            forgettable.stream().limit(LOOKED_AT).map(known::get).filter(x -> x != null && x.answered != null).findFirst()
+                .ifPresent(this::remove);
         }
     }
 
@@ -275,7 +283,7 @@
     public void testifies(long now, Testimony t, Predicate<String> ours, Consumer<Action> actions) {
         for (Recalled r : t.recalled()) {
             if (!ours.test(r.attempt()) && r.effect() != Effect.SAFE) {
-                recalls(t.machine(), r, actions);
+                recalls(now, t.machine(), r, actions);
             }
         }
         Set<String> keys = doubts.getOrDefault(t.machine(), Set.of());
@@ -287,7 +295,7 @@
             }
             if (k.placed()) {
                 // what it holds was taken over before, so this it has no more, and does not know how it ended
-                actions.accept(new Ran(k.owner, k.tenant, k.wish, t.machine(), Fate.LOST));
+                actions.accept(new Ran(k.owner, k.tenant, k.wish, t.machine(), Fate.LOST, false));
                 continue;
             }
             for (Map.Entry<String, Out> e : List.copyOf(k.open.entrySet())) {
@@ -299,7 +307,7 @@
         }
     }
 
-    private void recalls(String machine, Recalled r, Consumer<Action> actions) {
+    private void recalls(long now, String machine, Recalled r, Consumer<Action> actions) {
         Known k = known.get(key(r.owner(), r.wish().id()));
         boolean settled = k != null && !k.former;
         if (settled) {
@@ -315,10 +323,12 @@
             if (k != null) {
                 k.open.remove(r.attempt());
             }
-            actions.accept(new Ran(r.owner(), tenant, r.wish(), machine, fate));
+            // without a line of ours, only its age tells whether its result is still to be told or long forgotten
+            boolean told = k == null && (limits.journaled() || r.endedAt() < now - limits.keepFor());
+            actions.accept(new Ran(r.owner(), tenant, r.wish(), machine, fate, told));
         } else if (r.word() == Word.WITHDRAWN && r.ran()) {
             if (k != null && k.placed()) {
-                actions.accept(new Ran(r.owner(), tenant, r.wish(), machine, Fate.STOPPED));
+                actions.accept(new Ran(r.owner(), tenant, r.wish(), machine, Fate.STOPPED, false));
             } else {
                 actions.accept(new Failed(r.owner(), tenant, r.wish(), STOPPED_BY_PLACER));
             }
@@ -355,7 +365,7 @@
             goneAt = Long.MAX_VALUE;
             for (Known k : List.copyOf(known.values())) {
                 if (k.former && k.placed()) {
-                    actions.accept(new Ran(k.owner, k.tenant, k.wish, k.answered.machine(), Fate.LOST));
+                    actions.accept(new Ran(k.owner, k.tenant, k.wish, k.answered.machine(), Fate.LOST, false));
                 }
             }
         }
--- a/decisions/src/test/java/thornferry/decisions/recovery/RecoveryTest.java
+++ b/decisions/src/test/java/thornferry/decisions/recovery/RecoveryTest.java
@@ -26,9 +26,10 @@
     private static final long SECOND = 1_000_000;
     private static final Wish WISH = new Wish("t", "levy-run", "s", "", 1, 1, null, 0);
 
-    private final Recovery recovery = new Recovery(new Recovery.Limits(60 * SECOND, 600 * SECOND, 10 * SECOND, 100));
+    private final Recovery recovery = new Recovery(new Recovery.Limits(60 * SECOND, 600 * SECOND, 10 * SECOND, 100, false));
     private final List<Action> actions = new ArrayList<>();
-    private long now = 1_000 * SECOND;
+    private static final long NOW = 1_000 * SECOND;
+    private final long now = NOW;
 
     private static Promise offered(long at) {
         return new Promise.Offered(at, "old-1", "o", "x", WISH, Effect.UNSAFE, "n", 7);
@@ -53,7 +54,7 @@
     }
 
     private static Recalled recalled(Word word, boolean ran) {
-        return new Recalled("old-1", "o", WISH, Effect.UNSAFE, word, ran);
+        return new Recalled("old-1", "o", WISH, Effect.UNSAFE, word, ran, NOW - SECOND);
     }
 
     @Test
@@ -95,7 +96,7 @@
     void anEndThatTheNodeRemembersIsTheTasksResult() {
         begin(offered(now - SECOND));
         assertThat(registers(7, Testimony.ITS_WHOLE_LIFE, recalled(Word.ENDED, true)))
-            .contains(new Ran("o", "x", WISH, "n", Fate.ENDED)).doesNotHaveAnyElementsOfTypes(Proven.class);
+            .contains(new Ran("o", "x", WISH, "n", Fate.ENDED, false)).doesNotHaveAnyElementsOfTypes(Proven.class);
         recovery.note(answered(now, Result.PLACED)); // as the placer does then
         recovery.note(new Promise.Finished(now, "o", "t", Fate.ENDED));
         assertThat(registers(7, Testimony.ITS_WHOLE_LIFE, recalled(Word.ENDED, true))).isEmpty(); // told once
@@ -114,9 +115,16 @@
     void withoutAJournalTheNodesMemoryAloneTellsWhatRan() {
         begin();
         assertThat(registers(7, Testimony.ITS_WHOLE_LIFE, recalled(Word.EVICTED, true)))
-            .containsExactly(new Ran("o", "", WISH, "n", Fate.EVICTED));
-        assertThat(registers(7, Testimony.ITS_WHOLE_LIFE, new Recalled("new-1", "o", WISH, Effect.UNSAFE, Word.ENDED, true)))
-            .isEmpty(); // of this life: that is known otherwise
+            .containsExactly(new Ran("o", "", WISH, "n", Fate.EVICTED, false));
+        assertThat(registers(7, Testimony.ITS_WHOLE_LIFE, new Recalled("new-1", "o", WISH, Effect.UNSAFE, Word.ENDED, true,
+            now))).isEmpty(); // of this life: that is known otherwise
+    }
+
+    @Test
+    void whatEndedLongAgoIsKeptForOneWhoAsksAndToldToNobodyElse() {
+        begin();
+        assertThat(registers(7, Testimony.ITS_WHOLE_LIFE, new Recalled("old-1", "o", WISH, Effect.UNSAFE, Word.ENDED, true,
+            now - 61 * SECOND))).containsExactly(new Ran("o", "", WISH, "n", Fate.ENDED, true));
     }
 
     @Test
@@ -124,7 +132,7 @@
         begin(offered(now - SECOND), answered(now - SECOND, Result.PLACED));
         assertThat(actions).containsExactly(new Restored("o", "x", WISH, Result.PLACED, "n", "why", null));
         assertThat(recovery.doubt("o", "t")).isEqualTo(Doubt.NONE);
-        assertThat(registers(7, Testimony.ITS_WHOLE_LIFE)).containsExactly(new Ran("o", "x", WISH, "n", Fate.LOST));
+        assertThat(registers(7, Testimony.ITS_WHOLE_LIFE)).containsExactly(new Ran("o", "x", WISH, "n", Fate.LOST, false));
     }
 
     @Test
@@ -134,7 +142,7 @@
         recovery.tick(now + 9 * SECOND, actions::add);
         assertThat(actions).isEmpty();
         recovery.tick(now + 10 * SECOND, actions::add);
-        assertThat(actions).containsExactly(new Ran("o", "x", WISH, "n", Fate.LOST));
+        assertThat(actions).containsExactly(new Ran("o", "x", WISH, "n", Fate.LOST, false));
     }
 
     @Test
--- a/placer/src/main/java/thornferry/placer/Core.java
+++ b/placer/src/main/java/thornferry/placer/Core.java
@@ -126,7 +126,7 @@
         intake = new Intake(kept.whole() ? site.intake().withoutSettling() : site.intake(), settings.classes(),
             settings.seed(), now);
         recovery = new Recovery(new Recovery.Limits(site.intake().keepFor(), site.intake().mostPatience(),
-            site.membership().goneAfter(), site.intake().kept()));
+            site.membership().goneAfter(), site.intake().kept(), kept.whole()));
         journal = kept.journal();
         fleet = new Fleet(settings.kinds());
         line = new Line(site.line(), fleet, settings.seed());
@@ -203,7 +203,8 @@
     }
 
     List<Intake.News> undelivered(String owner) {
-        return intake.undelivered(owner);
+        // what waits for its promise is told when that is durable
+        return intake.undelivered(owner).stream().filter(n -> !untold.containsKey(owner + "/" + n.task())).toList();
     }
 
     void delivered(String owner, long number) {
@@ -342,7 +343,7 @@
         }
         unwritten.add(attempt);
         promise(new Promise.Offered(now, attempt, of.owner(), tenants.apply(of.owner()), of.wish(), of.effect(), machine,
-            membership.incarnation(machine)), wrong -> promised(machine, attempt, of, wrong));
+            membership.incarnation(machine)), wrong -> durable(machine, attempt, of, wrong));
     }
 
     private void send(String machine, String attempt, Intake.Offered of) {
@@ -352,7 +353,7 @@
     }
 
     /** An offer's promise is as durable as configured: only now may its first octet leave. */
-    private void promised(String machine, String attempt, Intake.Offered of, String wrong) {
+    private void durable(String machine, String attempt, Intake.Offered of, String wrong) {
         if (!unwritten.remove(attempt)) {
             return; // given up meanwhile
         }
@@ -367,7 +368,9 @@
 
     /** Writes a promise; {@code then} runs on the loop, with null or what is wrong. */
     private void promise(Promise promise, Consumer<String> then) {
-        recovery.note(promise);
+        if (journal != Journal.NONE) {
+            recovery.note(promise); // else nobody would ever read it
+        }
         journal.append(promise, wrong -> {
             if (loop.inEventLoop()) {
                 then.accept(wrong);
@@ -492,7 +495,8 @@
     private void carryOut(Intake.Action action) {
         long now = clock.now();
         if (action instanceof Intake.Waits w) {
-            reasons.asked(now, w.owner(), w.tenant(), w.wish().id(), w.wish().key(), w.keyed(), w.settling());
+            reasons.asked(now, w.owner(), w.tenant(), w.wish().id(), w.wish().key(), w.keyed(), w.settling(),
+                w.doubted() ? recovery.suspect(w.owner(), w.wish().id()) : "");
         } else if (action instanceof Intake.Hand hand) {
             Line.Item item = item(hand.ask(), hand.owner(), hand.deadline(), hand.turnedBy());
             asks.put(hand.ask().id(), hand.ask());
@@ -553,7 +557,8 @@
         } else if (action instanceof Recovery.Ran r) {
             LOG.atInfo().addKeyValue("instance", name).addKeyValue("node", r.machine())
                 .addKeyValue("task", r.wish().id()).log("placed by a former life of this placer: {}", r.fate());
-            intake.ran(now, r.owner(), tenants.apply(r.owner()), r.wish(), r.machine(), r.fate(), this::carryOut);
+            intake.ran(now, r.owner(), tenants.apply(r.owner()), r.wish(), r.machine(), r.fate(), r.told(),
+                this::carryOut);
         } else if (action instanceof Recovery.Failed f) {
             intake.mayHaveRun(now, f.owner(), tenants.apply(f.owner()), f.wish(), f.reason(), this::carryOut);
         } else if (action instanceof Recovery.Proven p) {
--- a/placer/src/main/java/thornferry/placer/PlacerInstance.java
+++ b/placer/src/main/java/thornferry/placer/PlacerInstance.java
@@ -402,7 +402,7 @@
             }
             if (a.hasTask() && !a.getOwner().isEmpty()) {
                 recalled.add(new Recovery.Recalled(a.getAttempt(), a.getOwner(), wish(a.getTask()), effect(a.getEffect()),
-                    said(a).word(), a.getRan()));
+                    said(a).word(), a.getRan(), clock.now() - micros(Math.max(0, a.getEndedMsAgo()))));
             }
         }
         Map<Placement.Effect, Long> since = new EnumMap<>(Placement.Effect.class);
--- a/placer/src/test/java/thornferry/placer/LivesTest.java
+++ b/placer/src/test/java/thornferry/placer/LivesTest.java
@@ -82,6 +82,7 @@
         final long until;
         int asks;
         int firstTold;
+        int ends;
         String told = "";
 
         Asked(Intake.Wish wish, long until) {
@@ -292,6 +293,9 @@
             core.delivered("o", news.number());
             Asked a = asked.get(news.task());
             if (news.result() == null) {
+                if (journaled && a.wish.taskClass().equals("unsafe") && !news.repeat() && ++a.ends > 1) {
+                    breaches.add(news.task() + " is told a second time to be over");
+                }
                 return;
             }
             a.firstTold += news.repeat() ? 0 : 1;
@@ -397,7 +401,7 @@
             n.held.remove(w.attempt());
             n.running.remove(w.attempt());
             if (word != Word.REFUSED && w.effect() != Effect.SAFE) {
-                n.memory.put(new Recovery.Recalled(w.attempt(), w.owner(), w.wish(), w.effect(), word, ran), now);
+                n.memory.put(new Recovery.Recalled(w.attempt(), w.owner(), w.wish(), w.effect(), word, ran, now), now);
                 if (journaled && random.nextInt(30) == 0) { // it must forget its oldest; without a journal none may
                     Recovery.Recalled oldest = n.memory.keySet().iterator().next();
                     n.forgot = n.memory.remove(oldest);
