The time to settle after a start does not pass while the placer stands still

Change: Intake counts a tick or ask more than 200 ms after the last one as standing still, and settles that much longer.

--- a/decisions/src/main/java/thornferry/decisions/Intake.java
+++ b/decisions/src/main/java/thornferry/decisions/Intake.java
@@ -150,6 +150,8 @@
     private static final String MAY_HAVE_RUN = "it may have run in a former life of the placer";
     /** The module answers before patience ends; so much after, an answer is given in its stead. */
     private static final long BACKSTOP = 2_000;
+    /** A tick that comes so late after the one before: we stood still, and heard nobody meanwhile. */
+    private static final long TICK_LATE = 200_000;
     /** Undelivered news for each owner; the oldest are dropped, their results can still be asked for again. */
     private static final int MOST_PENDING = 10_000;
     /** Tasks whose kept result was dropped early are remembered by their name's hash, so many at most. */
@@ -165,7 +167,8 @@
     private final Map<String, LinkedHashMap<Long, News>> pending = new HashMap<>(); // by owner
     private final LinkedHashMap<Long, Long> forgotten = new LinkedHashMap<>(); // hash -> until
     private final List<Entry> settling = new ArrayList<>();
-    private final long settleUntil;
+    private long settleUntil;
+    private long lastTick;
     private String unable = "";
     private int inHand;
     private long requests;
@@ -176,6 +179,7 @@
         this.limits = limits;
         this.random = new SplittableRandom(seed);
         this.settleUntil = now + limits.settle();
+        this.lastTick = now;
         classes.forEach(c -> this.classes.put(c.name(), c));
     }
 
@@ -198,6 +202,7 @@
     public void ask(long now, String owner, String tenant, Wish wish, Doubt doubt, Consumer<Action> actions)
         throws Unacceptable {
         TaskClass cls = checked(wish);
+        stoodStill(now);
         String key = key(owner, wish.id());
         Entry e = entries.get(key);
         if (e != null && !e.wish.sameShape(wish)) {
@@ -255,6 +260,14 @@
         }
     }
 
+    /** Guards against a start so slow that the time to settle is over before any node could be heard. */
+    private void stoodStill(long now) {
+        if (lastTick < settleUntil && now - lastTick > TICK_LATE) {
+            settleUntil += now - lastTick;
+        }
+        lastTick = now;
+    }
+
     /** Tells kept news again, in the place of what may still wait to be told. */
     private News repeat(News kept, Consumer<Action> actions) {
         if (kept == null) {
@@ -604,6 +617,7 @@
     // ---- time ----
     /** Time passes; to be called several times a second. */
     public void tick(long now, Consumer<Action> actions) {
+        stoodStill(now);
         if (!settling.isEmpty()) {
             for (Entry e : new ArrayList<>(settling)) {
                 if (now >= settleUntil && !e.doubted) {
--- a/decisions/src/test/java/thornferry/decisions/IntakeTest.java
+++ b/decisions/src/test/java/thornferry/decisions/IntakeTest.java
@@ -27,6 +27,9 @@
     private Intake intake(Intake.Limits limits) {
         Intake made = new Intake(limits, new Fixtures().classes, 7, now);
         now += 10 * SECOND; // well after the start, when nothing settles any more
+        for (long at = now - 10 * SECOND; at <= now; at += 100_000) {
+            made.tick(at, action -> { });
+        }
         return made;
     }
 
@@ -253,10 +256,16 @@
         actions.clear();
         assertThat(fresh.adopt(now, "o", "", wish("t", "unsafe"), "n", actions::add)).isNotNull();
         assertThat(only(actions).result()).isEqualTo(Result.PLACED);
-        now += 3 * SECOND;
-        List<Action> led = did(() -> fresh.tick(now, actions::add));
-        assertThat(led).hasSize(1);
-        assertThat(((Hand) led.get(0)).ask().task()).contains("u");
+        actions.clear();
+        now += SECOND;
+        fresh.tick(now, actions::add); // it stood still for a second, and heard nobody meanwhile
+        for (int i = 0; i < 30; i++) {
+            assertThat(actions).as("after %d ms", 1_000 + i * 100).isEmpty();
+            now += 100_000;
+            fresh.tick(now, actions::add);
+        }
+        assertThat(actions).hasSize(1);
+        assertThat(((Hand) actions.get(0)).ask().task()).contains("u");
         assertThat(fresh.inHand()).isEqualTo(2);
     }
 
