--- a/standin/src/main/java/thornferry/standin/Child.java
+++ b/standin/src/main/java/thornferry/standin/Child.java
@@ -20,6 +20,7 @@
 
     private final Process process;
     private final int port;
+    private final long serving = System.nanoTime();
 
     private Child(Process process, int port) {
         this.process = process;
@@ -82,8 +83,9 @@
         return new InetSocketAddress("127.0.0.1", port);
     }
 
-    boolean alive() {
-        return process.isAlive();
+    /** How long it has served; -1 where it serves no more. */
+    long upForMs() {
+        return process.isAlive() ? (System.nanoTime() - serving) / 1_000_000 : -1;
     }
 
     /** SIGKILL, and waits until it is gone. */
--- a/state/src/main/java/thornferry/state/Journal.java
+++ b/state/src/main/java/thornferry/state/Journal.java
@@ -6,31 +6,15 @@
 
 /** Where promises are written. Calls come from one thread; what is called back may come from any. */
 public interface Journal extends AutoCloseable {
-    /** Keeps nothing. */
-    Journal NONE = new Journal() {
-        @Override
-        public void append(Promise promise, Consumer<String> done) {
-            done.accept(null);
-        }
-
-        @Override
-        public void compact(Supplier<Iterable<Promise>> snapshot) {
-            // there is nothing to compact
-        }
-
-        @Override
-        public String trouble() {
-            return "";
-        }
-
-        @Override
-        public void close() {
-            // nothing is open
-        }
-    };
+    /** Keeps nothing, and says that it is kept: for a placer that promises nothing over its end. */
+    Journal NONE = unwritten(null);
 
     /** One that cannot be written at all, for this reason. */
     static Journal broken(String why) {
+        return unwritten(why);
+    }
+
+    private static Journal unwritten(String why) {
         return new Journal() {
             @Override
             public void append(Promise promise, Consumer<String> done) {
@@ -44,7 +28,7 @@
 
             @Override
             public String trouble() {
-                return why;
+                return why == null ? "" : why;
             }
 
             @Override
