--- a/placer/src/main/java/thornferry/placer/Placer.java
+++ b/placer/src/main/java/thornferry/placer/Placer.java
@@ -1,6 +1,7 @@
 package thornferry.placer;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -36,6 +37,12 @@
 public final class Placer implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(Placer.class);
 
+    /**
+     * Octets read of one connection before the others and the ticks have their turn. Guards against a storm of asks on a few
+     * connections, as after a restart, that holds up every answer due meanwhile; by default Netty reads a megabyte.
+     */
+    private static final int READ_OCTETS = 8 << 10;
+
     private final MultiThreadIoEventLoopGroup loops;
     private final List<PlacerInstance> instances = new ArrayList<>();
     private final List<EventLoop> loopOf = new ArrayList<>();
@@ -101,6 +108,8 @@
             listener = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(512, READ_OCTETS / 2,
+                    READ_OCTETS).maxMessagesPerRead(1))
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
