Recovery, JournalFile: an unused count and a twin branch dropped

No behaviour change: RecoveryTest, JournalFileTest, PromisesTest, LivesTest (200 lives) pass as they were.

--- a/decisions/src/main/java/thornferry/decisions/recovery/Recovery.java
+++ b/decisions/src/main/java/thornferry/decisions/recovery/Recovery.java
@@ -269,11 +269,6 @@
             : k.open.values().stream().map(Out::machine).findFirst().orElse("");
     }
 
-    /** Tasks whose fate in a former life is still open. */
-    public int inDoubt() {
-        return (int) known.values().stream().filter(k -> k.former).count();
-    }
-
     // ---- machines ----
     /**
      * A machine registers. What it holds must already have been taken over.
--- a/state/src/main/java/thornferry/state/JournalFile.java
+++ b/state/src/main/java/thornferry/state/JournalFile.java
@@ -158,9 +158,7 @@
 
     /** What may be lacking since the former life; empty for nothing. */
     private String lacks(Reading found) {
-        if (found.foreign()) {
-            return "the journal found " + found.trouble();
-        } else if (!found.whole()) {
+        if (!found.whole()) { // a foreign one is never whole
             return "the journal found " + found.trouble();
         } else if (found.last() != null && found.last().getDurability().equals(Durability.OS.name())
             && !found.last().getBoot().equals(boot())) {
