--- a/app/src/main/java/thornferry/app/Main.java
+++ b/app/src/main/java/thornferry/app/Main.java
@@ -18,7 +18,7 @@
         StopCommand.class, WhyCommand.class, WaitingCommand.class, LimitsCommand.class,
         NodesCommand.class, DrainCommand.class, DayCommand.class, AuditCommand.class,
         LoadCommand.class, OverloadCommand.class, ConfigCommand.class, KeysCommand.class, StateCommand.class,
-        SimHostCommand.class})
+        SimHostCommand.class, ServeCommand.class})
 public final class Main implements Runnable {
     static final int FAILED = 1;
     static final int BAD_USE = 2;
--- a/placer/src/main/java/thornferry/placer/Clock.java
+++ b/placer/src/main/java/thornferry/placer/Clock.java
@@ -1,7 +1,7 @@
 package thornferry.placer;
 
 /** The one clock of an instance: microseconds that never go back, near to those since 1970. */
-interface Clock {
+public interface Clock {
     long now();
 
     static Clock system() {
--- a/placer/src/main/java/thornferry/placer/ModuleHost.java
+++ b/placer/src/main/java/thornferry/placer/ModuleHost.java
@@ -11,9 +11,9 @@
  * Feeds one placement module: one event at a time, in order, with timers no earlier than asked for. It decides
  * nothing. Events that come up while the module is at work wait their turn, so that it is never entered twice.
  */
-final class ModuleHost {
+public final class ModuleHost {
     /** What to do when the module throws: the request of the event, or null where it was about none. */
-    interface Failed {
+    public interface Failed {
         void request(String id);
     }
 
@@ -28,8 +28,8 @@
     private boolean working;
     private long failures;
 
-    ModuleHost(Placement module, EventLoop loop, Clock clock, Consumer<Placement.Action> actions, Failed failed,
-               Logger log, String instance) {
+    public ModuleHost(Placement module, EventLoop loop, Clock clock, Consumer<Placement.Action> actions,
+                      Failed failed, Logger log, String instance) {
         this.module = module;
         this.loop = loop;
         this.clock = clock;
@@ -39,7 +39,7 @@
         this.instance = instance;
     }
 
-    void on(Placement.Event event) {
+    public void on(Placement.Event event) {
         waiting.add(event);
         if (working) {
             return;
@@ -103,7 +103,7 @@
     }
 
     /** How often the module threw. */
-    long failures() {
+    public long failures() {
         return failures;
     }
 }
