A machine that sends its tasks away gets no more offers while the list is late

Lines: Policy.ended passed over SENT_AWAY, Policy.judge took NOT_HERE for nothing, and avoid held one machine only. Change: such a machine sits out 5 s or until it starts anew; a task comes to no machine twice that failed it. What else it guards against: any drain told late. Harm: a machine that sheds some tasks and stays is left alone as long.

--- a/decisions/src/main/java/thornferry/decisions/Policy.java
+++ b/decisions/src/main/java/thornferry/decisions/Policy.java
@@ -78,6 +78,8 @@
     private static final double HOPE = 1.15;
     private static final long[] NEVER_OUT = {Long.MIN_VALUE, 0};
     private static final long CROWDED_FOR = 200 * MS;
+    /** A machine that sends its tasks away sits out so long, unless it starts anew: lists are less late. */
+    private static final long LEAVING = 5 * SECOND;
     /** The part of its share of a cold machine's budget that a placer spends; by chance only half of it. */
     private static final double COLD_PART = 0.8;
     /** A lost subscription is renewed after this, doubling to the most; well inside mustAskIn. */
@@ -200,7 +202,7 @@
         boolean closed; // no final answer is owed any more
         Machine mayHaveRunAt;
         long mayHaveRunFrom;
-        Machine avoid;
+        final Set<Machine> avoid = new HashSet<>(); // those that failed it
         List<Machine> homes = List.of();
         List<Machine> probed = List.of(); // before the attempt of this number, until this time
         int probedFor = -1;
@@ -594,7 +596,7 @@
 
     /** Why the machine gets no offer of the task, or null where it may. */
     private Cause cause(Machine m, Task t) {
-        if (m == t.avoid) {
+        if (t.avoid.contains(m)) {
             return Cause.FAILED_IT;
         } else if (!m.ready || !doubting && m.suspect) {
             return Cause.OUT_OF_TRUST;
@@ -841,6 +843,15 @@
         out[0] = now + out[1];
     }
 
+    /**
+     * Guards against a machine that leaves before the list says so: emptied by its own word, it looks the best
+     * of all. Harm: one that sends tasks away for another reason is left alone as long.
+     */
+    private void leaves(Machine m) {
+        m.crowded = false;
+        m.suspectUntil = Math.max(m.suspectUntil, now + LEAVING);
+    }
+
     private void suspect(Machine m, String why) {
         if (m.suspect && now < m.suspectUntil) {
             return;
@@ -866,6 +877,8 @@
         t.closed |= e.settled() || wasPlaced;
         if (!wasPlaced) {
             judge(m, t, e);
+        } else if (e.reason() == Reason.SENT_AWAY) {
+            leaves(m);
         } else if (e.outcome() == Outcome.LOST && e.reason() == Reason.NONE) {
             suspect(m, "a task was lost with it"); // a dead process breaks off offers at once: a black hole
         }
@@ -901,12 +914,18 @@
             } else if (e.reason() == Reason.OFFERS_WAIT) {
                 m.suspectUntil = now + CROWDED_FOR;
                 m.crowded = true;
+            } else if (e.reason() == Reason.NOT_HERE) {
+                if (t.cls.effect() != Effect.KEYED && t.cls.needsKind() < 0) {
+                    leaves(m); // of a key a copy may stand
+                }
             } else if (e.reason() == Reason.NONE) {
                 sitOut(m, t.cls); // not for want of room: a rate that is held down, or a start given back
             }
         }
         boolean room = e.outcome() == Outcome.REFUSED && e.reason() != Reason.NOT_HERE;
-        t.avoid = room ? t.avoid : m;
+        if (!room) {
+            t.avoid.add(m);
+        }
         boolean silent = e.outcome() == Outcome.TIMED_OUT && now - t.sentAt >= TIMEOUT_LEAST;
         if (silent && (many() || m.answeredAt > t.sentAt)) {
             sitOut(m, t.cls);
--- a/decisions/src/test/java/thornferry/decisions/PolicyTest.java
+++ b/decisions/src/test/java/thornferry/decisions/PolicyTest.java
@@ -525,4 +525,40 @@
     private static Held held(List<Action> led) {
         return led.stream().filter(Held.class::isInstance).map(Held.class::cast).reduce((a, b) -> b).orElseThrow();
     }
+
+    // ---- a machine that leaves before the list says so ----
+
+    @Test
+    void aMachineThatSendsItsTasksAwayGetsNoMoreWhileTheListIsLate() {
+        Script s = with(ready("m1", "a", 4), ready("m2", "a", 18));
+        Offer first = s.offer(ask("r1", "safe", 1));
+        s.send(new Placed("r1", 0, "m2", MS));
+        s.send(new Ended("r1", 0, "m2", Outcome.LOST, 0, true, Reason.SENT_AWAY, null));
+        assertEquals("m2", first.machine());
+        assertEquals("m1", s.offer(ask("r2", "safe", 1)).machine());
+        s.pass(6 * SECOND);
+        assertEquals("m2", s.offer(ask("r3", "safe", 1)).machine(), "it did not leave after all");
+    }
+
+    @Test
+    void aMachineThatTurnsAwayWhatNoCopyCanStandForIsLeaving() {
+        Script s = with(ready("m1", "a", 4), ready("m2", "a", 18));
+        Offer first = s.offer(ask("r1", "safe", 1));
+        s.send(ended(first, 0, Outcome.REFUSED, Reason.NOT_HERE));
+        assertEquals("m1", s.offer(ask("r2", "safe", 1)).machine());
+        s.send(delta(machine("m2", "a", MachineState.READY, 18, s.now)));
+        assertEquals("m2", s.offer(ask("r3", "safe", 1)).machine(), "started anew");
+    }
+
+    @Test
+    void aKeyedTaskTurnedAwayProvesNothingForOthersAndComesToNoMachineTwice() {
+        Script s = with(ready("m1", "a", 4), ready("m2", "a", 18), ready("m3", "a", 3));
+        Set<String> tried = new HashSet<>();
+        Offer offer = s.offer(ask("r1", "keyed", 1));
+        for (int i = 0; i < 3; i++) {
+            assertTrue(tried.add(offer.machine()));
+            offer = s.offer(ended(offer, i, Outcome.REFUSED, Reason.NOT_HERE));
+        }
+        assertEquals("m2", s.offer(ask("r2", "safe", 1)).machine());
+    }
 }
