--- a/decisions/src/main/java/thornferry/decisions/Policy.java
+++ b/decisions/src/main/java/thornferry/decisions/Policy.java
@@ -844,7 +844,7 @@
     }
 
     /**
-     * Guards against a machine that leaves before the list says so: emptied by its own word, it looks the best
+     * Guards against a machine that leaves before the list says so: emptied by its own word it looks the best
      * of all. Harm: one that sends tasks away for another reason is left alone as long.
      */
     private void leaves(Machine m) {
