Unsafe tasks keep clear of a machine that errs; nothing is kept of what is gone

Policy kept every machine and service it ever heard of: machineList never let one go, release looked at a service's machines only when it had another task end. Tried first and not kept: a machine that errs on what others take sits out the class. Change: for unsafe tasks alone the score adds what the machine erred of late, counted only where another took the task; machines told gone and services over for long are let go (a test of counts). Ruled out: errors by rude asks, which err everywhere, count for no machine (test).

--- a/decisions/src/main/java/thornferry/decisions/Policy.java
+++ b/decisions/src/main/java/thornferry/decisions/Policy.java
@@ -71,6 +71,8 @@
     private static final long SUSPECT_MOST = 8 * SECOND;
     private static final long CLASS_OUT_LEAST = 2 * SECOND; // likewise one class, which no probe brings back
     private static final long CLASS_OUT_MOST = 16 * SECOND;
+    /** How much of a machine's record of errors each placing there leaves. */
+    private static final double FAULTS_KEPT = 0.7;
     /**
      * Where readings count use, what is asked for is only inferred: so much is taken off it, since a refused
      * offer corrects a guess too low at once and nothing corrects one too high.
@@ -142,6 +144,7 @@
         boolean suspect, unreachable, crowded;
         long answeredAt = Long.MIN_VALUE / 2;
         final Map<String, long[]> classOut = new HashMap<>(); // until when it gets none of it, for how long
+        double faults; // the part of late offers that erred here and were taken elsewhere
         long coldUntil = Long.MIN_VALUE;
         final ArrayDeque<Long> offers = new ArrayDeque<>(); // within the cold window
         long refusedAt = Long.MIN_VALUE; // a refusal tells of room: less than this, but for own tasks since
@@ -203,6 +206,7 @@
         Machine mayHaveRunAt;
         long mayHaveRunFrom;
         final Set<Machine> avoid = new HashSet<>(); // those that failed it
+        final Set<Machine> erred = new HashSet<>(); // those that answered it by an error
         List<Machine> homes = List.of();
         List<Machine> probed = List.of(); // before the attempt of this number, until this time
         int probedFor = -1;
@@ -235,7 +239,7 @@
     private final Map<String, TaskClass> classes = new HashMap<>();
     private final double calm;
     private final double mostWorth;
-    private long now, lastTick, lastRetry;
+    private long now, lastTick, lastRetry, prunedAt;
     private Consumer<Action> actions;
     private double probeCredit;
     private double askRate; // own asks per second, smoothed
@@ -331,6 +335,7 @@
             machines.values().forEach(m -> m.ready = false);
         }
         e.entries().forEach(this::listed);
+        machines.values().removeIf(m -> m.entry != null && m.entry.state() == MachineState.GONE); // for good
         ready.clear();
         machines.values().stream().filter(m -> m.ready).forEach(ready::add);
     }
@@ -362,6 +367,7 @@
             m.suspectFor = m.suspectUntil = 0;
             m.coveredTo(Long.MAX_VALUE);
             m.classOut.clear();
+            m.faults = 0;
             own.values().forEach(at -> at.computeIfPresent(m, (k, there) -> there.tasks == 0 ? null : there));
             m.forget();
         }
@@ -455,6 +461,11 @@
         if (now >= timerAt) {
             timerAt = Long.MAX_VALUE;
         }
+        if (now - prunedAt >= KEPT) { // nothing is kept of services that are over
+            prunedAt = now;
+            own.values().forEach(at -> at.values().removeIf(o -> o.tasks == 0 && o.last < now - KEPT));
+            own.values().removeIf(Map::isEmpty);
+        }
         renew();
         probeSome(passed);
         retryHeld();
@@ -702,7 +713,9 @@
         double told = m.figures[QUEUE].heard ? m.figures[QUEUE].value() : mean[QUEUE];
         double queue = clamp(Math.max(told, m.startsWaiting) / 20);
         double start = W_START * (t.homes.isEmpty() ? 1 : HOME_WEIGHT) * newProgram(m, t);
-        return W_OVER * over + W_LEAN * lean + start + W_QUEUE * queue
+        // guards against a machine that answers by errors: they cost others little and fail an unsafe task
+        double fault = t.cls.effect() == Effect.UNSAFE ? W_OVER * m.faults : 0;
+        return W_OVER * over + W_LEAN * lean + start + W_QUEUE * queue + fault
             + settings.prices().crossZone() * (m.entry.zone().equals(settings.zone()) ? 0 : 1);
     }
 
@@ -812,6 +825,9 @@
         t.placed = true;
         t.closed = true;
         healthy(t.at);
+        t.at.faults *= FAULTS_KEPT;
+        // an ask that errs everywhere is itself at fault: only what another machine then took counts
+        t.erred.forEach(m -> m.faults = FAULTS_KEPT * m.faults + 1 - FAULTS_KEPT);
         waited(t, e.waited());
         if (settings.placedWhenRunning()) {
             started(t.at, t);
@@ -926,6 +942,9 @@
         if (!room) {
             t.avoid.add(m);
         }
+        if (e.outcome() == Outcome.ERROR) {
+            t.erred.add(m);
+        }
         boolean silent = e.outcome() == Outcome.TIMED_OUT && now - t.sentAt >= TIMEOUT_LEAST;
         if (silent && (many() || m.answeredAt > t.sentAt)) {
             sitOut(m, t.cls);
--- a/decisions/src/test/java/thornferry/decisions/PolicyTest.java
+++ b/decisions/src/test/java/thornferry/decisions/PolicyTest.java
@@ -561,4 +561,68 @@
         }
         assertEquals("m2", s.offer(ask("r2", "safe", 1)).machine());
     }
+
+    // ---- a machine that errs ----
+
+    private Offer erred(Script s, String id, int attempt, Offer offer) {
+        return s.offer(ended(offer, attempt, Outcome.ERROR, Reason.NONE));
+    }
+
+    /** Each of a service of its own, so that no program draws it. */
+    private static Asked alone(String id, String taskClass) {
+        return new Asked(new Ask(id, taskClass, null, "t-" + id, 8 * SECOND, 0, "s-" + id, 0.5, 0.5, false));
+    }
+
+    @Test
+    void unsafeTasksKeepClearOfAMachineThatErrsOnWhatOthersTake() {
+        Script s = with(ready("m1", "a", 8), ready("m2", "a", 18));
+        for (int i = 0; i < 2; i++) {
+            Offer first = s.offer(alone("r" + i, "safe"));
+            assertEquals("m2", first.machine());
+            assertEquals("m1", erred(s, "r" + i, 0, first).machine());
+            s.send(new Placed("r" + i, 1, "m1", MS));
+        }
+        assertEquals("m1", s.offer(alone("r3", "unsafe")).machine());
+        assertEquals("m2", s.offer(alone("r4", "safe")).machine(), "an error costs it nothing");
+        for (int i = 5; i < 12; i++) {
+            assertEquals("m2", s.offer(alone("r" + i, "safe")).machine());
+            s.send(new Placed("r" + i, 0, "m2", MS));
+            s.send(new Noted("r" + i, 0, "m2", NoteKind.RUNS, 1));
+        }
+        assertEquals("m2", s.offer(alone("r20", "unsafe")).machine(), "it errs no more");
+    }
+
+    @Test
+    void anAskThatErrsEverywhereSaysNothingOfTheMachines() {
+        Script s = with(ready("m1", "a", 8), ready("m2", "a", 18));
+        for (int i = 0; i < 20; i++) {
+            Offer offer = s.offer(alone("r" + i, i % 2 == 0 ? "safe" : "unsafe"));
+            assertEquals("m2", offer.machine(), "no fault of the machine's");
+            offer = erred(s, "r" + i, 0, offer);
+            if (offer != null) {
+                erred(s, "r" + i, 1, offer);
+                s.send(new OwnerLeft("r" + i));
+            }
+        }
+    }
+
+    @Test
+    void nothingIsKeptOfMachinesThatAreGoneAndServicesThatAreOver() throws Exception {
+        Script s = with(ready("m0", "a", 18));
+        for (int i = 0; i < 500; i++) {
+            Offer offer = s.offer(alone("r" + i, "safe"));
+            s.send(new Placed("r" + i, 0, offer.machine(), MS));
+            s.send(delta(machine("m" + i, "a", MachineState.DRAINING, 18, 0), ready("m" + (i + 1), "a", 18)));
+            s.send(new Ended("r" + i, 0, offer.machine(), Outcome.ENDED, 0, true, Reason.NONE, null));
+            s.send(delta(machine("m" + i, "a", MachineState.GONE, 18, 0)));
+            s.pass(100 * MS);
+        }
+        for (String name : List.of("machines", "tasks", "held", "own")) {
+            java.lang.reflect.Field field = Policy.class.getDeclaredField(name);
+            field.setAccessible(true);
+            Object kept = field.get(s.module);
+            int size = kept instanceof java.util.Map<?, ?> map ? map.size() : ((java.util.Collection<?>) kept).size();
+            assertTrue(size <= 2 || name.equals("own") && size <= 170, name + " keeps " + size);
+        }
+    }
 }
