A cold machine's budget holds for the fleet: turns by the clock, and nothing right after a start

Cause: withinCold (Policy) counted what this life of this placer sent. A placer that had just restarted spent its share again, and offers that come up late (connections) fell into the next window's. With a share under one offer, chance draws bounded the mean only. Change: offers are counted over 1.25 windows; machines that came up before this placer did get nothing in its first span; where the share is under one offer, turns half a window long and 1.5 windows / (budget - 1) apart, by number and machine, so that any window meets at most as many turns as the budget holds: a bound without chance.

--- a/decisions/src/main/java/thornferry/decisions/Policy.java
+++ b/decisions/src/main/java/thornferry/decisions/Policy.java
@@ -82,8 +82,12 @@
     private static final long CROWDED_FOR = 200 * MS;
     /** A machine that sends its tasks away sits out so long, unless it starts anew: lists are less late. */
     private static final long LEAVING = 5 * SECOND;
-    /** The part of its share of a cold machine's budget that a placer spends; by chance only half of it. */
+    /** The part of its share of a cold machine's budget that a placer spends. */
     private static final double COLD_PART = 0.8;
+    /** Offers are counted over so many windows, for one may reach a machine later than the next. */
+    private static final double COLD_SPAN = 1.25;
+    /** Where a share is under one offer: how long a placer's turn to send one lasts, in windows. */
+    private static final double COLD_TURN = 0.5;
     /** A lost subscription is renewed after this, doubling to the most; well inside mustAskIn. */
     private static final long RENEW_LEAST = 300 * MS;
     private static final long RENEW_MOST = 2 * SECOND;
@@ -240,7 +244,7 @@
     private final Map<String, TaskClass> classes = new HashMap<>();
     private final double calm;
     private final double mostWorth;
-    private long now, lastTick, lastRetry, prunedAt;
+    private long now, lastTick, lastRetry, prunedAt, begun;
     private Consumer<Action> actions;
     private double probeCredit;
     private double askRate; // own asks per second, smoothed
@@ -280,7 +284,7 @@
     @Override
     public void on(long time, Event event, Consumer<Action> sink) {
         if (timerAt == Long.MAX_VALUE) {
-            lastTick = time;
+            lastTick = begun = time;
         }
         now = time;
         actions = sink;
@@ -739,24 +743,30 @@
     }
 
     /**
-     * Where a placer's share of a cold machine's budget is under one offer, it comes by chance, drawn anew
-     * for each window and machine: at half the part, for two windows' draws may be spent within one.
+     * Guards a cold machine against the sum of what all placers send. With a share of an offer or more each
+     * sends no more than that within the span. With less, placers take turns by the clock that all share:
+     * turns begin 1.5 windows / (budget - 1) apart and last half a window, so that those which meet any one
+     * window number the budget at most. An earlier life of this placer counts as having spent its share.
      */
     private boolean withinCold(Machine m) {
         long window = Math.max(1, settings.rules().coldWindow());
-        while (!m.offers.isEmpty() && m.offers.peekFirst() <= now - window) {
+        long span = (long) (COLD_SPAN * window);
+        while (!m.offers.isEmpty() && m.offers.peekFirst() <= now - span) {
             m.offers.removeFirst();
         }
         if (now >= m.coldUntil + window) {
             return true;
+        } else if (now < begun + span && m.entry.started() < begun) {
+            return false;
         }
         double share = COLD_PART * settings.rules().coldOffers() / settings.instances();
         if (share >= 1) {
             return m.offers.size() + 1 <= share;
         }
-        long turn = Math.floorDiv(now + Math.floorMod(settings.seed(), window), window);
-        long draw = settings.seed() ^ (long) m.id.hashCode() << 20 ^ turn;
-        return m.offers.isEmpty() && random(draw) < share / 2;
+        double apart = (1 + COLD_TURN) * window / Math.max(1, settings.rules().coldOffers() - 1);
+        int place = Math.floorMod(settings.number() + m.id.hashCode(), settings.instances());
+        double into = Math.floorMod(now - (long) (place * apart), (long) (settings.instances() * apart));
+        return m.offers.isEmpty() && into < COLD_TURN * window;
     }
 
     /** Counted over the machines as listed now: a task may be handed over before its machine is listed. */
--- a/decisions/src/test/java/thornferry/decisions/Fixtures.java
+++ b/decisions/src/test/java/thornferry/decisions/Fixtures.java
@@ -10,6 +10,7 @@
     static final long SECOND = 1_000_000;
 
     long seed = 7;
+    int number;
     int instances = 1;
     Reports reports = Reports.NONE;
     List<String> reportNames = List.of("x0", "x1");
@@ -35,7 +36,7 @@
     }
 
     Settings settings() {
-        return new Settings(seed, 0, instances, "a", classes, List.of(new MachineKind("std", 20, 40)), List.of(),
+        return new Settings(seed, number, instances, "a", classes, List.of(new MachineKind("std", 20, 40)), List.of(),
             reports, reportNames, countsUsed, listsRoom, mustAsk, running, false, false, false, 1, 1, 1, 2, 0.1,
             3 * SECOND, new Prices(fleetPrice, 0.08, 0.03, 0, 0.003, 0.004, 0.02, 2),
             new Rules(8 * MS, 500 * MS, 10 * SECOND, 0.25, 16 * SECOND, 2, 3 * SECOND, coldOffers),
--- a/decisions/src/test/java/thornferry/decisions/RulesTest.java
+++ b/decisions/src/test/java/thornferry/decisions/RulesTest.java
@@ -143,6 +143,7 @@
         }
         for (int i = 0; i < placers; i++) {
             fixtures.seed = 1_000 + i * 7_919L;
+            fixtures.number = i;
             scripts.add(new Script(fixtures));
             scripts.get(i).send(new MachineList(1, ListKind.FULL, list));
         }
