Probes cost no more than a small part of an ask; the list's room is a reading once the last is old

Ruled out: suspects (no machine sat out then) and probes before an offer (more machines than placers). At fault: probeSome bounded the period by PROBE_PERIOD_MOST whatever the price; listed() took the list for a reading only before the first report, or where placers outnumber machines. Change: where the list shows room, the period grows with the settings' price of a probe, so that probes cost at most 0.008 of an ask (2 at 0.004, as before); a list entry is a reading once the last report is 2.5 s old. Two tests, both fail without.

--- a/decisions/src/main/java/thornferry/decisions/Policy.java
+++ b/decisions/src/main/java/thornferry/decisions/Policy.java
@@ -62,6 +62,8 @@
     private static final long PROBE_PERIOD = 700 * MS;
     private static final long PROBE_PERIOD_MOST = 2 * SECOND;
     private static final double PROBES_PER_ASK = 2.0;
+    /** Where the list shows room, which it does for nothing, probes may cost so much of an ask's worth. */
+    private static final double PROBE_SPEND = 0.008;
     /** Bounds of an attempt's time-out; between them it follows the waits seen. */
     private static final long TIMEOUT_LEAST = 600 * MS;
     private static final long TIMEOUT_RUNNING = 1500 * MS; // where the answer comes only when the task runs
@@ -377,7 +379,7 @@
             m.forget();
         }
         if (settings.listShowsRoom() && (settings.reports() == Reports.NONE || !m.heard()
-            || many() && m.readFrom < now - LIST_LAG)) {
+            || m.readFrom < now - LIST_LAG)) {
             read(m, entry.coresFree(), entry.memoryFree(), LIST_LAG); // stands in for a report
         }
     }
@@ -421,7 +423,8 @@
         if (settings.reports() == Reports.NONE || due.isEmpty() || many()) {
             return;
         }
-        double period = Math.max(PROBE_PERIOD, Math.min(PROBE_PERIOD_MOST,
+        double dear = settings.listShowsRoom() ? settings.prices().probe() * PROBES_PER_ASK / PROBE_SPEND : 0;
+        double period = Math.max(1, dear) * Math.max(PROBE_PERIOD, Math.min(PROBE_PERIOD_MOST,
             SECOND * due.size() / (PROBES_PER_ASK * Math.max(0.1, askRate))));
         probeCredit = Math.min(due.size(), probeCredit + passed * due.size() / period);
         due.sort(Comparator.comparingLong(m -> m.heardAt));
--- a/decisions/src/test/java/thornferry/decisions/Fixtures.java
+++ b/decisions/src/test/java/thornferry/decisions/Fixtures.java
@@ -22,6 +22,7 @@
     double coldOffers = 40;
     int attempts = 4;
     boolean probes = true;
+    double probePrice = 0.003;
     List<TaskClass> classes = new ArrayList<>(List.of(
         taskClass("safe", Effect.SAFE, Scope.ALL, 5, Scope.NONE, 0),
         taskClass("keyed", Effect.KEYED, Scope.ZONE, 5, Scope.NONE, 0),
@@ -38,7 +39,7 @@
     Settings settings() {
         return new Settings(seed, number, instances, "a", classes, List.of(new MachineKind("std", 20, 40)), List.of(),
             reports, reportNames, countsUsed, listsRoom, mustAsk, running, false, false, false, 1, 1, 1, 2, 0.1,
-            3 * SECOND, new Prices(fleetPrice, 0.08, 0.03, 0, 0.003, 0.004, 0.02, 2),
+            3 * SECOND, new Prices(fleetPrice, 0.08, 0.03, 0, probePrice, 0.004, 0.02, 2),
             new Rules(8 * MS, 500 * MS, 10 * SECOND, 0.25, 16 * SECOND, 2, 3 * SECOND, coldOffers),
             new Limits(probes, true, true, false, attempts, 3 * SECOND));
     }
--- a/decisions/src/test/java/thornferry/decisions/PolicyTest.java
+++ b/decisions/src/test/java/thornferry/decisions/PolicyTest.java
@@ -182,6 +182,51 @@
         assertTrue(s.pass(40 * MS).stream().anyMatch(Offer.class::isInstance));
     }
 
+    // ---- probes and the list ----
+
+    private int probesOfHalfAMinute() {
+        f.reports = Reports.ON_PROBE;
+        Script s = with(ready("m1", "a", 18), ready("m2", "a", 18), ready("m3", "a", 18));
+        int probes = 0;
+        for (int i = 0; i < 300; i++) {
+            List<Action> led = new java.util.ArrayList<>(s.pass(100 * MS));
+            led.addAll(s.send(ask("r" + i, "safe", 0.01)));
+            for (Action a : led) {
+                if (a instanceof Probe probe) {
+                    probes++;
+                    s.send(new Probed(probe.machine(), true, MS, new double[] {18, 36}));
+                }
+            }
+        }
+        return probes;
+    }
+
+    @Test
+    void probesCostASmallPartOfAnAskWhereTheListShowsRoom() {
+        f.probePrice = 0.004;
+        int cheap = probesOfHalfAMinute();
+        f.probePrice = 0.08;
+        int dear = probesOfHalfAMinute();
+        f.listsRoom = false;
+        int alone = probesOfHalfAMinute();
+        assertTrue(cheap >= 100, cheap + " where they cost little");
+        assertTrue(dear <= cheap / 10, dear + " where they cost twenty times as much");
+        assertEquals(cheap, alone, "where nothing else tells of room they go on");
+    }
+
+    @Test
+    void theListIsAReadingOnceTheLastReportIsOld() {
+        f.reports = Reports.ON_PROBE;
+        f.probePrice = 0.08;
+        Script s = with(ready("m1", "a", 18));
+        s.send(new Probed("m1", true, MS, new double[] {18, 36}));
+        s.send(delta(ready("m1", "a", 1)));
+        assertNotNull(s.offer(ask("r1", "safe", 5)), "the report is newer than what the list tells");
+        s.pass(3 * SECOND);
+        s.send(delta(ready("m1", "a", 1)));
+        assertNull(s.offer(ask("r2", "safe", 5)));
+    }
+
     // ---- rule 4: cold machines ----
 
     @Test
