A list line tells of room only where it is a reading: Membership says NaN after the registration

Cause: the module takes a list line for a reading since, and Membership.tell repeated the room of the registration at every change of state, as at a drain's end seconds later. Ruled out: the cold turns (its machines are cold only after a lost connection) and the oracle. Measured: ReasonsTest, MembershipTest, PolicyTest, RulesTest, SizeTest green; the oracle is untouched.

--- a/decisions/src/main/java/thornferry/decisions/Membership.java
+++ b/decisions/src/main/java/thornferry/decisions/Membership.java
@@ -74,6 +74,7 @@
         boolean draining;
         boolean over; // its life was given up
         long brokenAt;
+        long registeredAt; // what it said of its room then is a reading at that moment only
         final List<Long> breaks = new ArrayList<>();
         long heldOutUntil = Long.MIN_VALUE;
         long heldOutFor;
@@ -129,6 +130,7 @@
             m.started = Math.max(1, now - r.uptime());
         }
         m.is = r;
+        m.registeredAt = now;
         m.over = false;
         m.link = link;
         links.put(link, r.machine());
@@ -232,8 +234,10 @@
         if (state != m.told) {
             m.told = state;
             Registration r = m.is;
+            // guards against a drain that ends long after: the module takes what the list shows for a reading
+            boolean fresh = now == m.registeredAt;
             actions.accept(new Changed(List.of(new MachineEntry(r.machine(), r.zone(), r.kind(), r.cell(), state,
-                r.coresFree(), r.memoryFree(), 1, m.started))));
+                fresh ? r.coresFree() : Double.NaN, fresh ? r.memoryFree() : Double.NaN, 1, m.started))));
         }
     }
 
--- a/decisions/src/main/java/thornferry/decisions/Placement.java
+++ b/decisions/src/main/java/thornferry/decisions/Placement.java
@@ -138,7 +138,7 @@
         }
     }
 
-    /** One line of the machine list; {@code started} is the time of the last start, 0 for long ago. */
+    /** One line of the machine list; {@code started} is the last start's time, 0 for long ago; room NaN if not told. */
     record MachineEntry(String machine, String zone, String kind, int cell, MachineState state, double coresFree,
                         double memoryFree, double weight, long started) { }
 
