Policy: whoever took a task with it is cold when it answers again; unlisted machines go

Causes, found by reading: a machine's process that dies and is back before the list says so was cold only for placers whose own connections had failed meanwhile: others went on at full rate (ended(), the branch of LOST without a reason; healthy()). And machines that a whole list lacks, or that only a hand-over named, were kept for good (goneAt was set by a line that says gone, and began at never). Change: a placed task lost without a reason marks its machine as one out of reach is marked; goneAt begins at 0, and a whole list sets it. Both tests fail without their line: 10 offers for 4, 601 machines kept for 2.

--- a/decisions/src/main/java/thornferry/decisions/Policy.java
+++ b/decisions/src/main/java/thornferry/decisions/Policy.java
@@ -137,7 +137,7 @@
         final String id;
         MachineEntry entry;
         boolean ready;
-        long goneAt = Long.MAX_VALUE;
+        long goneAt; // also while only a task that was handed over names it
         int kind = -1;
         final double[] size = new double[2]; // cores and memory, as in all pairs below
         final Filter[] figures = new Filter[4]; // parts, as reports count; busy part; queue
@@ -338,8 +338,11 @@
             renewAt = now;
             renew();
         }
-        if (e.kind() != ListKind.DELTA) {
-            machines.values().forEach(m -> m.ready = false);
+        if (e.kind() != ListKind.DELTA) { // whoever a whole list lacks is gone, though no line says so
+            machines.values().forEach(m -> {
+                m.ready = false;
+                m.goneAt = Math.min(m.goneAt, now);
+            });
         }
         e.entries().forEach(this::listed);
         ready.clear();
@@ -913,6 +916,7 @@
         } else if (e.reason() == Reason.SENT_AWAY) {
             leaves(m);
         } else if (e.outcome() == Outcome.LOST && e.reason() == Reason.NONE) {
+            m.unreachable = true; // what answers there next has started since, and the list tells late
             suspect(m, "a task was lost with it"); // a dead process breaks off offers at once: a black hole
         }
         if (t.closed) {
--- a/decisions/src/test/java/thornferry/decisions/PolicyTest.java
+++ b/decisions/src/test/java/thornferry/decisions/PolicyTest.java
@@ -242,6 +242,26 @@
         assertEquals(4, offers);
     }
 
+    @Test
+    void aMachineThatTookATaskWithItIsColdWhenItAnswersAgainWhateverTheListSays() {
+        f.instances = 4;
+        f.coldOffers = 20;
+        Script s = new Script(f);
+        s.send(full(ready("m1", "a", 18)));
+        s.pass(10 * SECOND);
+        Offer first = s.offer(ask("r0", "safe", 0.1));
+        s.send(new Placed("r0", 0, "m1", MS));
+        s.pass(10 * SECOND);
+        s.send(new Ended("r0", 0, first.machine(), Outcome.LOST, 0, true, Reason.NONE, null));
+        assertTrue(s.pass(2 * SECOND).contains(new Probe("m1")));
+        s.send(new Probed("m1", true, MS, null));
+        int offers = 0;
+        for (int i = 1; i <= 10; i++) {
+            offers += s.offer(ask("r" + i, "safe", 0.1)) == null ? 0 : 1;
+        }
+        assertEquals(4, offers);
+    }
+
     // ---- rule 5: spread ----
 
     @Test
@@ -673,6 +693,13 @@
             s.send(delta(machine("m" + i, "a", MachineState.DRAINING, 18, 0), ready("m" + (i + 1), "a", 18)));
             s.send(new Ended("r" + i, 0, offer.machine(), Outcome.ENDED, 0, true, Reason.NONE, null));
             s.send(delta(machine("m" + i, "a", MachineState.GONE, 18, 0)));
+            // a task handed over at a machine that no list ever names
+            s.send(new Running(alone("h" + i, "safe").ask(), "nowhere" + i));
+            s.send(new Ended("h" + i, 0, "nowhere" + i, Outcome.LOST, 0, true, Reason.NONE, null));
+            s.pass(100 * MS);
+        }
+        for (int i = 0; i < 100; i++) { // whole lists, each without the machines of the one before
+            s.send(new MachineList(1_000 + i, ListKind.FULL, List.of(ready("w" + i, "a", 18))));
             s.pass(100 * MS);
         }
         s.pass(60 * SECOND);
