Policy: with more placers than homes, a service's program is looked for at shared homes

The shared homes, made for just that, acted only where placers outnumber machines (asked(), place(): many()). Change: they act also where placers are more than homes; nothing else of what 'many' rules is touched. Ruled out: late answers (p99 of placing 0.35 s), refusals (0.5 to 1.9 %), machines taken for gone (none). Test fails with many() alone: morePlacersThanHomesMeetOnAFewMachinesOfAService.

--- a/decisions/src/main/java/thornferry/decisions/Policy.java
+++ b/decisions/src/main/java/thornferry/decisions/Policy.java
@@ -49,7 +49,10 @@
     private static final double SETUP = 6.0;
     /** A machine keeps a program about so long after its last task here. */
     private static final long KEPT = 8 * SECOND;
-    /** Where placers are many: the machines that a service's program is expected on, by a hash all share. */
+    /**
+     * The machines that a service's program is expected on, by a hash all share: where placers are many, or
+     * more than homes, one sees so few of a service's tasks that its own tell it less.
+     */
     private static final int HOMES = 7;
     private static final double HOME_FIRST = 0.1; // what a home counts as of a new program, each further one
     private static final double HOME_NEXT = 0.12;
@@ -323,6 +326,11 @@
         return settings.instances() > machines.size();
     }
 
+    /** Of a service's tasks this placer sees too few to know from them where its program is. */
+    private boolean seesFew() {
+        return many() || settings.instances() > HOMES;
+    }
+
     // ---- the list, the subscription, probes ----
     private void machineList(MachineList e) {
         if (e.kind() == ListKind.FAILED) {
@@ -493,7 +501,7 @@
         }
         Task t = new Task(ask, classes.getOrDefault(ask.taskClass(), settings.classes().get(0)), now);
         tasks.put(ask.id(), t);
-        if (many() && !settings.oneHome()) {
+        if (seesFew() && !settings.oneHome()) {
             t.homes = homes(t);
         }
         placeOrHold(t);
@@ -590,7 +598,7 @@
         fit.removeIf(m -> !eligible(m, t));
         Set<Machine> sample = new LinkedHashSet<>(t.homes);
         sample.addAll(t.probed);
-        if (many()) { // where the program is: a sample of a large fleet would hardly draw it
+        if (seesFew()) { // where the program is: a sample of a large fleet would hardly draw it
             sample.addAll(own.getOrDefault(t.ask.service(), Map.of()).keySet());
         }
         sample.retainAll(fit);
--- a/decisions/src/test/java/thornferry/decisions/PolicyTest.java
+++ b/decisions/src/test/java/thornferry/decisions/PolicyTest.java
@@ -497,6 +497,26 @@
         assertNotNull(s.offer(ask("r1", "safe", 1)));
     }
 
+    // ---- where a service's program is ----
+
+    @Test
+    void morePlacersThanHomesMeetOnAFewMachinesOfAService() {
+        f.instances = 16;
+        MachineEntry[] fleet = new MachineEntry[100];
+        for (int i = 0; i < fleet.length; i++) {
+            fleet[i] = ready("m" + i, "a", 18);
+        }
+        java.util.Set<String> met = new java.util.HashSet<>();
+        for (f.number = 0; f.number < 16; f.number++) {
+            f.seed = 100 + f.number;
+            Script s = with(fleet);
+            for (int i = 0; i < 3; i++) {
+                met.add(s.offer(ask("r" + i, "safe", 0.5)).machine());
+            }
+        }
+        assertTrue(met.size() <= 7, "48 tasks of one service on " + met.size() + " machines");
+    }
+
     // ---- bad input ----
 
     @Test
