--- a/review/2/case.py
+++ b/review/2/case.py
@@ -56,7 +56,7 @@
         machine.vanish()
         site.record.say(f"{machine.id} vanishes with {len(tasks)} tasks; "
                         f"{connections} connections stay open and silent")
-        if not machine.listener.is_cut_off():
+        if not await machine.listener.is_cut_off():
             raise s.CannotRun("a new connection to the vanished machine came up")
     else:
         for call in tasks:
--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -17,7 +17,6 @@
 import sys
 import tempfile
 import time
-import tomllib
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -212,11 +211,14 @@
             filler.connect_ex(self.address)
             self.fillers.append(filler)
 
-    def is_cut_off(self):
+    async def is_cut_off(self):
         """Whether a new connection really stays without an answer."""
-        with socket.socket() as probe:
-            probe.settimeout(0.4)
-            return probe.connect_ex(self.address) in (errno.EAGAIN, errno.ETIMEDOUT)
+        def probe():
+            with socket.socket() as sock:
+                sock.settimeout(0.4)
+                return sock.connect_ex(self.address) in (errno.EAGAIN, errno.ETIMEDOUT)
+
+        return await self.site.loop.run_in_executor(None, probe)
 
     def restore(self):
         for filler in self.fillers:
@@ -245,6 +247,7 @@
         self.connections, self.standing, self.open_offers = [], {}, {}
         self.offers = []          # (time, id) of all offers that arrived
         self.draining = False
+        self.origin, self.unsure_releases = {}, []
         self.free_at = 0.0
         self.on_offer = None      # a hook: returns True if it has handled the offer
         self.on_release = None
@@ -270,6 +273,9 @@
         connection.number = len(self.connections) + 1
         self.connections.append(connection)
         self.note(f"connection {connection.number} accepted")
+        releases, self.unsure_releases = self.unsure_releases, []
+        for message in releases:
+            self.tell(connection, message)
 
     def _closed(self, connection):
         self.note(f"connection {connection.number} closed")
@@ -293,7 +299,7 @@
         self.note(f"< #{connection.number} {json.dumps(message)}")
         if op == "offer":
             self.offers.append((time.time(), call))
-            self.open_offers[call] = connection
+            self.open_offers[call] = self.origin[call] = connection
             if not (self.on_offer and self.on_offer(connection, message)):
                 # the machine looks at one ask at a time
                 self.free_at = max(time.time(), self.free_at) + self.answer_ms / 1000
@@ -332,13 +338,15 @@
         connection.send(json.dumps(message).encode() + b"\n")
 
     def finish(self, call, why=16, note=None):
-        """The task comes to its end; its release goes out on an open connection."""
+        """The task comes to its end. Its release goes out on the connection of its set-up or on
+        any open one, and also on the next connection opened."""
         del self.standing[call]
-        for connection in self.connections:
-            if not connection.closed and not connection.paused:
-                self.tell(connection, {"op": "end", "call": call,
-                                       "with": {"note": note} if note else {}, "why": why})
-                return
+        message = {"op": "end", "call": call, "with": {"note": note} if note else {}, "why": why}
+        usable = [c for c in self.connections if not c.closed and not c.paused]
+        origin = self.origin.get(call)
+        if usable:
+            self.tell(origin if origin in usable else usable[0], message)
+        self.unsure_releases.append(message)
 
     def drain(self):
         """Accepts nothing new and sends all its tasks away at once."""
@@ -593,8 +601,9 @@
 
     async def start_placer(self, settings_object, sockets=1024, trace=False):
         """Starts the placer with `run` of the deploy file and waits until a test is passed."""
-        with open(os.path.join(ROOT, "deploy", "balancer.toml"), "rb") as file:
-            run = tomllib.load(file)["run"]
+        with open(os.path.join(ROOT, "deploy", "balancer.toml"), encoding="utf-8") as file:
+            run = next(json.loads(line.split("=", 1)[1]) for line in file
+                       if line.split("=")[0].strip() == "run")
         if not os.path.exists(os.path.join(ROOT, "platform", "target", "thornferry-serve.jar")):
             raise CannotRun("the build of the deploy file has not been made")
         if trace:
@@ -651,12 +660,15 @@
     async def main():
         site = Site(folder)
         result = NOT_RUN
+        site.loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             result = await asyncio.wait_for(case(site), 110)
         except CannotRun as reason:
             site.record.say(f"cannot run: {reason}")
         except asyncio.TimeoutError:
             site.record.say("cannot run: not finished within 110 s")
+        except asyncio.CancelledError:
+            site.record.say("cannot run: stopped by SIGTERM")
         except OSError as failure:
             site.record.say(f"cannot run: {failure}")
         finally:
