--- a/review/lib/stomp.py
+++ b/review/lib/stomp.py
@@ -101,7 +101,8 @@
             "node": self.name, "incarnation": str(self.incarnation), "kind": "std-node",
             "zone": "hall-a", "cell": 1, "cores": 24, "memory": 48,
             "uptimeMs": str(int(now * 1000) - self.incarnation), "load": self.load(),
-            "held": [{"offer": o, "runs": True} for o in self.held.values()],
+            "held": [{"attempt": o["attempt"], "task": o["task"], "owner": o["owner"], "runs": True,
+                      "placer": o["placer"]} for o in self.held.values()],
             "recent": [dict(report, endedMsAgo=str(int((now - at) * 1000)))
                        for at, report in self.recent]})
 
@@ -131,11 +132,10 @@
 
     def end(self, offer):
         if self.held.pop(offer["attempt"], None):
-            task = offer["task"]["id"]
-            self.note(f"task {task} has ended")
+            self.note(f"task {offer['task']['id']} has ended")
             self.recent.append((time.time(), {
                 "node": self.name, "attempt": offer["attempt"], "kind": "ENDED", "ran": True,
-                "owner": offer["owner"], "task": task, "effect": offer["effect"]}))
+                "owner": offer["owner"], "task": offer["task"], "effect": offer["effect"]}))
             self.report(offer, "ENDED", ran=True)
 
 
