--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -9,6 +9,7 @@
 import json
 import os
 import random
+import resource
 import shutil
 import signal
 import socket
@@ -677,4 +678,7 @@
                         + ("" if TROUBLE else " (TROUBLE=0)"))
         return result
 
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft < 4096:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, 4096), hard))
     sys.exit(asyncio.run(main()))
