--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""A machine is cut off while it accepts a task; the task is handed over before the cut ends."""
+"""A busy placer is killed and starts again; tasks that ended meanwhile are handed over."""
 import asyncio
 import os
 import sys
@@ -8,83 +8,81 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib-2"))
 import standins as s  # noqa: E402
 
-CUT_S = 5.0         # the pages: a zone is lost for 5 s, partitioned for 6 s
-OWNER_WAIT_S = 3.0  # familyInfo.ownerWait
-LEFT_MS = 1500      # as in the protocol's example of parameter 182
-RUNS_S = 12.0       # how long the task would run
+MACHINES = 40
+SET_UPS_PER_S = 90     # the pages: "on one day up to 90"
+LIFE_S = 14.0          # the site: gauge-relay lives 6.5 to 21 s
+DOWN_S = 6.0           # the pages: restarted placers are ready within 10 s
+FRONT_S = 3.0          # how often the front tests a placer that it doesn't admit
+DUE_S = 8.0 + 0.05
 
 
 async def play(record, started):
     journal = s.Journal(record)
     await journal.start()
-    machine = s.Machine(record, "s-00000000", zone="hall-a", cell=1)
-    others = [s.Machine(record, "s-%08x" % i, zone="hall-b", cell=2, cores=8, memory=10)
-              for i in range(1, 4)]
-    for m in [machine] + others:
-        await m.start()
-    journal.add([m.entry() for m in [machine] + others], complete=True)
+    machines = [s.Machine(record, "s-%08x" % i, zone="hall-" + "abc"[i % 3], cell=i % 8, admit_ms=7)
+                for i in range(MACHINES)]
+    for machine in machines:
+        await machine.start()
+    journal.add([m.entry() for m in machines], complete=True)
     placer = s.Placer(record, journal)
     started.append(placer)
     await placer.start()
     await asyncio.sleep(4.5)
     owner = await s.Owner(record, "owner").connect(placer.listen)
+    stand = {}   # call -> machine
 
-    # the others are too full for a task of this size
-    state = {}
+    async def ask(number):
+        call = owner.set_up("gauge-relay", 8000, "t%d" % number, cores=0.5, memory=1,
+                            service="v%d" % (number % 60))
+        answer = await owner.heard_within(call, 9)
+        if answer is not None and answer[1] == 9:
+            stand[call] = [m for m in machines if "%016x" % call in m.held][0]
 
-    async def accept_and_lose_the_network(m, message, writer):
-        if int(message["call"], 16) != state.get("call") or not s.TROUBLE:
-            return False
-        state["cut"] = time.time()
-        m.cut_off()
-        m.accept(message, writer)   # its answer is under way when the network goes
-        return True
+    asks = []
+    begin = time.time()
+    for number in range(int(SET_UPS_PER_S * LIFE_S)):
+        asks.append(asyncio.ensure_future(ask(number)))
+        await asyncio.sleep(max(0, begin + number / SET_UPS_PER_S - time.time()))
+    await asyncio.gather(*asks)
+    record("case", "%d tasks stand" % len(stand))
+    ended = {}
 
-    machine.on_offer = accept_and_lose_the_network
-    first = owner.set_up("gauge-relay", 8000, "before", cores=9, memory=11, service="b")
-    machine.sizes["%016x" % first] = (1, 1)
-    if (await owner.heard_within(first, 9) or (0, 0))[1] != 9:
-        raise s.CannotRun("the machine takes no task")
-    state["call"] = 0x5f00000000000001
-    call = owner.set_up("levy-run", LEFT_MS, "the-task", cores=10, memory=20, service="l",
-                        call=state["call"])
-    machine.sizes["%016x" % call] = (10, 20)
-    answer = await owner.heard_within(call, 4)
-    if answer is None:
-        raise s.CannotRun("no final answer")
-    hexcall = "%016x" % call
+    async def lives():
+        # the tasks end in the order in which they began, at the rate at which they began
+        for call in list(stand):
+            stand[call].finish("%016x" % call)
+            ended[call] = time.time()
+            await asyncio.sleep(1 / SET_UPS_PER_S)
+
+    ends = asyncio.ensure_future(lives())
     if s.TROUBLE:
-        if answer[1] != 12 or hexcall not in machine.held:
-            raise s.CannotRun("the attempt was not given up while the machine held the task")
-        # a task that may run and must not run twice: the owner waits, then it turns out to run
-        await asyncio.sleep(OWNER_WAIT_S)
-        told_before = len(owner.heard[call])
-        if hexcall not in machine.held:
-            raise s.CannotRun("the machine did not hold the task any more")
-        record("case", "the machine holds the task: its owner hands it over")
-        owner.set_up("levy-run", 0, "the-task", cores=10, memory=20, service="l", call=call,
-                     at=machine.id)
-        await asyncio.sleep(max(0.0, state["cut"] + CUT_S - time.time()))
-        await machine.reconnect()
-    elif answer[1] != 9:
-        raise s.CannotRun("the task was not placed")
+        placer.process.kill()
+        record(placer.name, "KILLED")
+        await placer.process.wait()
+        await asyncio.sleep(DOWN_S)
+        await placer.start(test_every=FRONT_S)
+        ready = time.time()
+        owner = await s.Owner(record, "owner").connect(placer.listen)
+        standing = list(stand)
+        for call in standing:
+            owner.set_up("gauge-relay", 0, "t", cores=0.5, memory=1, service="v", call=call,
+                         at=stand[call].id)
+        record("case", "%d of %d tasks had ended when they were handed over" % (
+            len(ended), len(stand)))
     else:
-        told_before = len(owner.heard[call])
-    until = time.time() + RUNS_S
-    while time.time() < until and hexcall in machine.held:
-        await asyncio.sleep(0.05)
-    machine.finish(hexcall)
-    end = time.time()
-    cut = [t for t, c in machine.cuts if c == hexcall]
-    await asyncio.sleep(9.0)
-    told = [t for t, kind, _ in owner.heard[call][told_before:] if kind in (12, 51)]
-    record("case", "the task ended %s" % ("by the placer's release" if cut else "by itself"))
-    if told and told[0] - end <= 1.05:
-        return []
-    return ["the task stood and was handed over to the placer; %s, and %s" % (
-        "the machine cut it on a release of the placer's" if cut else "it ended",
-        "its owner was told %.2f s later" % (told[0] - end) if told
-        else "its owner was told nothing within 9 s")]
+        ready = begin
+    await ends
+    await asyncio.sleep(DUE_S + 1.0)
+    late = []
+    for call, end in ended.items():
+        told = [t for t, kind, _ in owner.heard.get(call, []) if kind == 12]
+        due = max(end, ready) + DUE_S
+        if not told or told[0] > due:
+            late.append("task %016x ended at its machine %+.1f s from the placer's first test and was "
+                        "%s" % (call, end - ready, "released late" if told else "never released"))
+    if late:
+        late = late[:5] + ["%d of %d tasks in all" % (len(late), len(stand))]
+    return late
 
 
-s.main(FOLDER, play)
+s.main(FOLDER, play, limit=115)
--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -87,6 +87,7 @@
         self.queue = asyncio.Lock()
         self.server = None
         self.fillers = []
+        self.filler_names = set()
         self.given_up = set()
         self.open_calls = {}
 
@@ -96,7 +97,10 @@
     async def _accept(self):
         loop = asyncio.get_event_loop()
         while True:
-            connection, _ = await loop.sock_accept(self.sock)
+            connection, peer = await loop.sock_accept(self.sock)
+            if peer in self.filler_names:
+                connection.close()  # only filled the queue while the machine was cut off
+                continue
             connection.setblocking(False)
             reader = asyncio.StreamReader()
             protocol = asyncio.StreamReaderProtocol(reader)
@@ -239,6 +243,7 @@
             filler.setblocking(False)
             filler.connect_ex(self.sock.getsockname())
             self.fillers.append(filler)
+            self.filler_names.add(filler.getsockname())
 
     async def reconnect(self):
         """The end of a cut: what was under way in both directions arrives, in its order."""
@@ -538,7 +543,7 @@
         return [json.loads(line.split("=", 1)[1]) for line in text.splitlines()
                 if line.startswith("run =")][0]
 
-    async def start(self):
+    async def start(self, test_every=0.1):
         self.write_config()
         tmp = os.path.join(self.folder, "tmp")
         os.makedirs(tmp, exist_ok=True)
@@ -564,7 +569,7 @@
                     return self
             except OSError:
                 pass
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(test_every)
         raise CannotRun("the placer was not ready within 30 s: " + self.log_text()[-500:])
 
     def log_text(self):
