--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -81,6 +81,7 @@
         self.light = asyncio.Event()
         self.light.set()
         self.held_back = []  # what the machine says while it is cut off
+        self.dead = set()    # connections that are of no further use: nothing read, nothing sent
         self.unsent = []     # releases that are also sent on the next connection
         self.on_offer = None  # a hook: async (machine, message, writer) -> True if it answered
         self.sizes = {}      # call -> (cores, memory); told by the case, as offers do not carry it
@@ -143,6 +144,8 @@
                 await self.light.wait()
                 if not line:
                     break
+                if writer in self.dead:
+                    continue
                 message = json.loads(line)
                 if message["op"] != "test":
                     self.record(self.id, "< " + line.decode().strip()[:300])
@@ -214,8 +217,8 @@
 
     def release(self, writer, message):
         """On the connection of the set-up, otherwise on any open one; also on the next opened."""
-        if writer not in self.writers or writer.is_closing():
-            others = [w for w in self.writers if not w.is_closing()]
+        if writer not in self.writers or writer.is_closing() or writer in self.dead:
+            others = [w for w in self.writers if not w.is_closing() and w not in self.dead]
             writer = others[-1] if others else None
         self.unsent.append(message)
         if writer is not None:
