platform: a connection is opened again after one that may have lost a task's end

Cause: a machine sends the end of a task on the connection of its offer and again on the next connection that is opened. The placer opened one only to a machine with none left, and closed connections, idle ones too, with ends unread on them.

--- a/platform/src/main/java/thornferry/platform/FailureDetector.java
+++ b/decisions/src/main/java/thornferry/decisions/machines/FailureDetector.java
@@ -1,13 +1,13 @@
-package thornferry.platform;
+package thornferry.decisions.machines;
 
 import java.util.HashMap;
 import java.util.Map;
 
 /**
- * Decides when a machine with running tasks has failed, from the results of connection attempts,
- * requests and received messages. A reset connection alone is no evidence of a failure, because
- * connections to live machines are reset as well. This class performs no I/O and reads no clock;
- * all times are microseconds.
+ * Decides when a machine with running tasks has failed, and when it has to be connected to again,
+ * from the results of connection attempts, requests and received messages. A reset connection alone
+ * is no evidence of a failure, because connections to live machines are reset as well. This class
+ * performs no I/O and reads no clock; all times are microseconds.
  *
  * <p>A <em>contact</em> is an established connection or a received message. A contact clears all
  * failures recorded before it.
@@ -47,9 +47,17 @@
  *     <td>1 s</td>
  *     <td>a new connection is opened, if the machine is no longer in the endpoint list</td>
  *   </tr>
+ *   <tr>
+ *     <td>{@link #mayHaveMissedMessage}</td>
+ *     <td>a connection was closed before everything on it was read, and none has been opened since
+ *         </td>
+ *     <td>at once</td>
+ *     <td>a new connection is opened: a machine repeats the end of a task on the next connection
+ *         that is opened, but not on those that are open already</td>
+ *   </tr>
  * </table>
  */
-final class FailureDetector {
+public final class FailureDetector {
     /**
      * A single refusal may come from a process that is restarting; two refusals this far apart mean
      * that the machine has failed.
@@ -76,11 +84,15 @@
     /** The time of a failure that has not occurred; later than any other time. */
     private static final long NEVER = Long.MAX_VALUE;
 
+    /** The time of a missed message if there was none; earlier than any other time. */
+    private static final long NOT_MISSED = Long.MIN_VALUE;
+
     /** The contact history of one machine. */
     private static final class ContactHistory {
         private long firstRefusalMicros = NEVER;
         private long firstConnectFailureMicros = NEVER;
         private long firstTimedOutRequestSentMicros = NEVER;
+        private long lastMissedMessageMicros = NOT_MISSED;
 
         /** The time of the last contact, or 0 if there was none. */
         private long lastContactMicros;
@@ -91,18 +103,18 @@
     /**
      * Treats the given time as a contact with the machine, so that the timeouts start at that time.
      */
-    void assumeContact(String machine, long nowMicros) {
+    public void assumeContact(String machine, long nowMicros) {
         history(machine).lastContactMicros = nowMicros;
     }
 
     /** Returns whether there was a contact with the machine, recorded or assumed. */
-    boolean hasContact(String machine) {
+    public boolean hasContact(String machine) {
         ContactHistory history = histories.get(machine);
         return history != null && history.lastContactMicros > 0;
     }
 
-    /** Records an established connection or a received message. */
-    void recordContact(String machine, long nowMicros) {
+    /** Records a received message. */
+    public void recordContact(String machine, long nowMicros) {
         ContactHistory history = history(machine);
         history.lastContactMicros = nowMicros;
         history.firstRefusalMicros = NEVER;
@@ -110,8 +122,38 @@
         history.firstTimedOutRequestSentMicros = NEVER;
     }
 
+    /**
+     * Records that a connection was closed although the machine may have sent messages on it that
+     * were not read.
+     */
+    public void recordMissedMessage(String machine, long nowMicros) {
+        history(machine).lastMissedMessageMicros = nowMicros;
+    }
+
+    /**
+     * Records an established connection, which is a contact.
+     *
+     * @param openedAtMicros when the connection attempt began
+     */
+    public void recordEstablished(String machine, long openedAtMicros, long nowMicros) {
+        ContactHistory history = history(machine);
+        if (openedAtMicros >= history.lastMissedMessageMicros) {
+            history.lastMissedMessageMicros = NOT_MISSED;
+        }
+        recordContact(machine, nowMicros);
+    }
+
+    /**
+     * Returns whether the machine may have sent a message on a connection that was closed before it
+     * was read, and has not been connected to again since.
+     */
+    public boolean mayHaveMissedMessage(String machine) {
+        ContactHistory history = histories.get(machine);
+        return history != null && history.lastMissedMessageMicros != NOT_MISSED;
+    }
+
     /** Records the timeout of an offer or health check that was sent at the given time. */
-    void recordRequestTimeout(String machine, long sentAtMicros) {
+    public void recordRequestTimeout(String machine, long sentAtMicros) {
         ContactHistory history = history(machine);
         if (sentAtMicros > history.lastContactMicros) {
             history.firstTimedOutRequestSentMicros =
@@ -120,7 +162,7 @@
     }
 
     /** Records a connection attempt that failed for any reason. */
-    void recordConnectFailure(String machine, long nowMicros) {
+    public void recordConnectFailure(String machine, long nowMicros) {
         ContactHistory history = history(machine);
         history.firstConnectFailureMicros = Math.min(history.firstConnectFailureMicros, nowMicros);
     }
@@ -131,7 +173,7 @@
      * @param connected whether another connection to the machine is open
      * @return whether the refusals show that the machine has failed
      */
-    boolean recordRefusal(String machine, long nowMicros, boolean connected) {
+    public boolean recordRefusal(String machine, long nowMicros, boolean connected) {
         ContactHistory history = history(machine);
         if (connected) {
             history.firstRefusalMicros = NEVER;
@@ -144,7 +186,7 @@
     /**
      * Returns whether there was no contact on any connection for {@link #SILENCE_THRESHOLD_MICROS}.
      */
-    boolean isSilent(String machine, long nowMicros) {
+    public boolean isSilent(String machine, long nowMicros) {
         ContactHistory history = histories.get(machine);
         return history != null && nowMicros - history.lastContactMicros >= SILENCE_THRESHOLD_MICROS;
     }
@@ -153,7 +195,7 @@
      * Returns whether connection attempts have failed for {@link #UNREACHABLE_THRESHOLD_MICROS},
      * with no contact since the first failure.
      */
-    boolean isUnreachable(String machine, long nowMicros) {
+    public boolean isUnreachable(String machine, long nowMicros) {
         ContactHistory history = histories.get(machine);
         return history != null
                 && history.firstConnectFailureMicros != NEVER
@@ -165,7 +207,7 @@
      * one connection attempt must have failed, because a machine that has nothing to report sends
      * nothing, and its idle connections are closed.
      */
-    boolean isLost(String machine, long nowMicros) {
+    public boolean isLost(String machine, long nowMicros) {
         ContactHistory history = histories.get(machine);
         if (history == null || history.firstConnectFailureMicros == NEVER) {
             return false;
@@ -177,7 +219,7 @@
     }
 
     /** Removes the contact history of the machine. */
-    void remove(String machine) {
+    public void remove(String machine) {
         histories.remove(machine);
     }
 
--- /dev/null
+++ b/decisions/src/main/java/thornferry/decisions/machines/package-info.java
@@ -0,0 +1,10 @@
+/**
+ * What a placer knows about the machines that it is connected to, and what it still owes them.
+ *
+ * <p>{@link thornferry.decisions.machines.FailureDetector} is the only place that decides whether a
+ * machine can be reached, has failed, or has to be connected to again.
+ *
+ * <p>The classes of this package are not thread-safe; one event loop makes all calls. All times are
+ * microseconds.
+ */
+package thornferry.decisions.machines;
--- a/platform/src/test/java/thornferry/platform/FailureDetectorProperties.java
+++ b/decisions/src/test/java/thornferry/decisions/machines/FailureDetectorProperties.java
@@ -1,4 +1,4 @@
-package thornferry.platform;
+package thornferry.decisions.machines;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/platform/src/test/java/thornferry/platform/FailureDetectorTest.java
+++ b/decisions/src/test/java/thornferry/decisions/machines/FailureDetectorTest.java
@@ -1,4 +1,4 @@
-package thornferry.platform;
+package thornferry.decisions.machines;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -87,4 +87,17 @@
         detector.recordContact("a", 3_100 * MICROS_PER_MILLI);
         assertThat(detector.isUnreachable("a", 9_000 * MICROS_PER_MILLI)).isFalse();
     }
+
+    /** Guards against a missed end of a task for which no new connection is opened. */
+    @Test
+    void missedMessageRequiresConnectionOpenedAfterIt() {
+        detector.recordEstablished("a", 0, 100 * MICROS_PER_MILLI);
+        assertThat(detector.mayHaveMissedMessage("a")).isFalse();
+        detector.recordMissedMessage("a", 500 * MICROS_PER_MILLI);
+        detector.recordContact("a", 600 * MICROS_PER_MILLI);
+        detector.recordEstablished("a", 400 * MICROS_PER_MILLI, 700 * MICROS_PER_MILLI);
+        assertThat(detector.mayHaveMissedMessage("a")).isTrue();
+        detector.recordEstablished("a", 500 * MICROS_PER_MILLI, 800 * MICROS_PER_MILLI);
+        assertThat(detector.mayHaveMissedMessage("a")).isFalse();
+    }
 }
