platform: a stop is pending until its machine confirms it, and is sent again

Cause: a stop counted as done once written to any established connection. A reset after the write lost it too.

Change: decisions.machines.PendingStops owns the stops: pending until the machine reports the end or acknowledges it, has failed, or 8 s have passed.

--- a/decisions/src/main/java/thornferry/decisions/machines/package-info.java
+++ b/decisions/src/main/java/thornferry/decisions/machines/package-info.java
@@ -4,6 +4,9 @@
  * <p>{@link thornferry.decisions.machines.FailureDetector} is the only place that decides whether a
  * machine can be reached, has failed, or has to be connected to again.
  *
+ * <p>{@link thornferry.decisions.machines.PendingStops} is the only place that knows which task a
+ * machine still has to stop.
+ *
  * <p>The classes of this package are not thread-safe; one event loop makes all calls. All times are
  * microseconds.
  */
