--- a/decisions/src/main/java/thornferry/decisions/machines/FailureDetector.java
+++ b/decisions/src/main/java/thornferry/decisions/machines/FailureDetector.java
@@ -113,6 +113,12 @@
         return history != null && history.lastContactMicros > 0;
     }
 
+    /** Returns the time of the last contact, recorded or assumed, or 0 if there was none. */
+    public long lastContactMicros(String machine) {
+        ContactHistory history = histories.get(machine);
+        return history == null ? 0 : history.lastContactMicros;
+    }
+
     /** Records a received message. */
     public void recordContact(String machine, long nowMicros) {
         ContactHistory history = history(machine);
--- a/decisions/src/main/java/thornferry/decisions/machines/package-info.java
+++ b/decisions/src/main/java/thornferry/decisions/machines/package-info.java
@@ -5,7 +5,8 @@
  * machine can be reached, has failed, or has to be connected to again.
  *
  * <p>{@link thornferry.decisions.machines.PendingStops} is the only place that knows which task a
- * machine still has to stop.
+ * machine still has to stop. {@link thornferry.decisions.machines.IdleConnectionEviction} decides
+ * which machines stay connected if there are more machines than connections.
  *
  * <p>The classes of this package are not thread-safe; one event loop makes all calls. All times are
  * microseconds.
