--- a/decisions/src/main/java/thornferry/decisions/machines/PendingStops.java
+++ b/decisions/src/main/java/thornferry/decisions/machines/PendingStops.java
@@ -3,8 +3,10 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * The requests to stop a task that a machine has not confirmed. A request that was written to a
@@ -27,6 +29,12 @@
     /** The maximum number of pending requests to one machine. The oldest is dropped. */
     private static final int MAX_STOPS_PER_MACHINE = 256;
 
+    /**
+     * The maximum number of machines that are not listed and have pending requests. The requests of
+     * the one that was added first are dropped: anyone can name machines that do not exist.
+     */
+    private static final int MAX_UNLISTED_MACHINES = 512;
+
     /** A request to stop one task. */
     private static final class Stop {
         private final long expiresAtMicros;
@@ -47,8 +55,21 @@
     /** The requests by task id, the oldest first, by machine id. No machine has an empty map. */
     private final Map<String, Map<String, Stop>> stopsByMachine = new HashMap<>();
 
-    /** Adds a request, which is due at once. A pending request for the same task starts again. */
-    public void add(String machine, String taskId, long nowMicros) {
+    /** The machines with requests that were not listed when the first one was added, in order. */
+    private final Set<String> unlistedMachines = new LinkedHashSet<>();
+
+    /**
+     * Adds a request, which is due at once. A pending request for the same task starts again.
+     *
+     * @param listed whether the machine is listed
+     */
+    public void add(String machine, String taskId, boolean listed, long nowMicros) {
+        if (!listed && !isPending(machine)) {
+            unlistedMachines.add(machine);
+        }
+        if (unlistedMachines.size() > MAX_UNLISTED_MACHINES) {
+            removeAll(unlistedMachines.iterator().next());
+        }
         Map<String, Stop> stops =
                 stopsByMachine.computeIfAbsent(machine, id -> new LinkedHashMap<>());
         stops.remove(taskId);
@@ -78,7 +99,7 @@
             return false;
         }
         if (stops.isEmpty()) {
-            stopsByMachine.remove(machine);
+            removeAll(machine);
         }
         return true;
     }
@@ -86,6 +107,7 @@
     /** Removes all requests to a machine whose tasks have ended. */
     public void removeAll(String machine) {
         stopsByMachine.remove(machine);
+        unlistedMachines.remove(machine);
     }
 
     /** Drops the expired requests. */
@@ -96,6 +118,7 @@
                         stops ->
                                 stops.values().removeIf(stop -> stop.expiresAtMicros <= nowMicros));
         stopsByMachine.values().removeIf(Map::isEmpty);
+        unlistedMachines.retainAll(stopsByMachine.keySet());
     }
 
     /** Returns whether there is a request to this machine. */
--- a/decisions/src/test/java/thornferry/decisions/machines/PendingStopsProperties.java
+++ b/decisions/src/test/java/thornferry/decisions/machines/PendingStopsProperties.java
@@ -25,7 +25,7 @@
             String task = "t" + random.nextInt(4);
             switch (random.nextInt(5)) {
                 case 0, 1 -> {
-                    stops.add(machine, task, nowMicros);
+                    stops.add(machine, task, true, nowMicros);
                     requestedAt.put(machine + task, nowMicros);
                 }
                 case 2 -> stops.markSent(machine, task, nowMicros);
--- a/decisions/src/test/java/thornferry/decisions/machines/PendingStopsTest.java
+++ b/decisions/src/test/java/thornferry/decisions/machines/PendingStopsTest.java
@@ -11,7 +11,7 @@
     /** Guards against a machine that is kept, and connected to, for a stop that has expired. */
     @Test
     void dropsStopThatHasExpired() {
-        stops.add("b", "t", 1 * MICROS_PER_SECOND);
+        stops.add("b", "t", true, 1 * MICROS_PER_SECOND);
         stops.removeExpired(9 * MICROS_PER_SECOND - 1);
         assertThat(stops.isPending("b")).isTrue();
         stops.removeExpired(9 * MICROS_PER_SECOND);
@@ -21,7 +21,7 @@
     /** Guards against a stop that counts as done once it is written. */
     @Test
     void retriesWithBackoffUntilConfirmed() {
-        stops.add("a", "t", 0);
+        stops.add("a", "t", true, 0);
         assertThat(stops.isDue("a", 0)).isTrue();
         stops.markSent("a", "t", 0);
         assertThat(stops.isDue("a", MICROS_PER_SECOND - 1)).isFalse();
@@ -36,10 +36,10 @@
 
     @Test
     void returnsStopsOfOneMachineInOrder() {
-        stops.add("a", "t1", 0);
-        stops.add("b", "t2", 0);
-        stops.add("a", "t3", 0);
-        stops.add("a", "t1", 1);
+        stops.add("a", "t1", true, 0);
+        stops.add("b", "t2", true, 0);
+        stops.add("a", "t3", true, 0);
+        stops.add("a", "t1", true, 1);
         assertThat(stops.tasks("a")).containsExactly("t3", "t1");
         stops.removeAll("a");
         assertThat(stops.tasks("a")).isEmpty();
@@ -50,8 +50,21 @@
     @Test
     void dropsOldestStopAboveLimit() {
         for (int i = 0; i <= 256; i++) {
-            stops.add("a", "t" + i, i);
+            stops.add("a", "t" + i, true, i);
         }
         assertThat(stops.tasks("a")).hasSize(256).doesNotContain("t0").contains("t1");
     }
+
+    /** Guards against memory that grows with stops for machines that do not exist. */
+    @Test
+    void dropsStopsOfOldestUnlistedMachineAboveLimit() {
+        stops.add("listed", "t", true, 0);
+        for (int i = 0; i <= 512; i++) {
+            stops.add("unlisted-" + i, "t", false, i);
+        }
+        assertThat(stops.isPending("listed")).isTrue();
+        assertThat(stops.isPending("unlisted-0")).isFalse();
+        assertThat(stops.isPending("unlisted-1")).isTrue();
+        assertThat(stops.isPending("unlisted-512")).isTrue();
+    }
 }
