platform: a vanished machine fails although connections to it are open

Cause: a listed machine was tried again, and could count as lost, only once no connection was open; those to a vanished machine stay open.

Change: FailureDetector decides from all connections together: one second after an unanswered request a connection is tried, and 6.5 s after the first sign, if an attempt failed too, the machine has failed.

--- a/decisions/src/main/java/thornferry/decisions/machines/FailureDetector.java
+++ b/decisions/src/main/java/thornferry/decisions/machines/FailureDetector.java
@@ -48,6 +48,20 @@
  *     <td>a new connection is opened, if the machine is no longer in the endpoint list</td>
  *   </tr>
  *   <tr>
+ *     <td>{@link #isSuspect}</td>
+ *     <td>the first failed connection attempt since the last contact, or the first request sent
+ *         since then that timed out, is at least this old</td>
+ *     <td>1 s</td>
+ *     <td>a new connection is opened, also if others are open</td>
+ *   </tr>
+ *   <tr>
+ *     <td>{@link #isUnresponsive}</td>
+ *     <td>a connection attempt has failed since the last contact, and the first failure, or the
+ *         first request sent since then that timed out, is at least this old</td>
+ *     <td>6.5 s</td>
+ *     <td>the machine has failed, also if connections are open</td>
+ *   </tr>
+ *   <tr>
  *     <td>{@link #mayHaveMissedMessage}</td>
  *     <td>a connection was closed before everything on it was read, and none has been opened since
  *         </td>
@@ -73,6 +87,12 @@
     /** Connection attempts fail occasionally; a single failure is not sufficient evidence. */
     private static final long LOST_MIN_FAILURE_AGE_MICROS = 1_000_000;
 
+    /**
+     * Connections to a machine that has vanished stay open. Longer than a partition of 6 s and the
+     * time until a connection is established after it.
+     */
+    private static final long UNRESPONSIVE_THRESHOLD_MICROS = 6_500_000;
+
     /**
      * For a machine that is no longer listed, an open connection is not sufficient evidence that
      * the machine is alive.
@@ -96,6 +116,11 @@
 
         /** The time of the last contact, or 0 if there was none. */
         private long lastContactMicros;
+
+        /** Returns the time of the first sign of a failure since the last contact. */
+        private long firstFailureMicros() {
+            return Math.min(firstConnectFailureMicros, firstTimedOutRequestSentMicros);
+        }
     }
 
     private final Map<String, ContactHistory> histories = new HashMap<>(); // by machine id
@@ -218,10 +243,27 @@
         if (history == null || history.firstConnectFailureMicros == NEVER) {
             return false;
         }
-        long firstFailureMicros =
-                Math.min(history.firstConnectFailureMicros, history.firstTimedOutRequestSentMicros);
         return nowMicros - history.lastContactMicros >= LOST_THRESHOLD_MICROS
-                && nowMicros - firstFailureMicros >= LOST_MIN_FAILURE_AGE_MICROS;
+                && nowMicros - history.firstFailureMicros() >= LOST_MIN_FAILURE_AGE_MICROS;
+    }
+
+    /** Returns whether a request or connection attempt has failed, with no contact since. */
+    public boolean isSuspect(String machine, long nowMicros) {
+        ContactHistory history = histories.get(machine);
+        return history != null
+                && history.firstFailureMicros() != NEVER
+                && nowMicros - history.firstFailureMicros() >= LOST_MIN_FAILURE_AGE_MICROS;
+    }
+
+    /**
+     * Returns whether the machine has failed although connections to it are open. At least one
+     * connection attempt must have failed, since a single request may remain unanswered.
+     */
+    public boolean isUnresponsive(String machine, long nowMicros) {
+        ContactHistory history = histories.get(machine);
+        return history != null
+                && history.firstConnectFailureMicros != NEVER
+                && nowMicros - history.firstFailureMicros() >= UNRESPONSIVE_THRESHOLD_MICROS;
     }
 
     /** Removes the contact history of the machine. */
--- a/decisions/src/test/java/thornferry/decisions/machines/FailureDetectorTest.java
+++ b/decisions/src/test/java/thornferry/decisions/machines/FailureDetectorTest.java
@@ -88,6 +88,22 @@
         assertThat(detector.isUnreachable("a", 9_000 * MICROS_PER_MILLI)).isFalse();
     }
 
+    /** Guards against a vanished machine that counts as alive while connections to it are open. */
+    @Test
+    void isUnresponsiveAfterRequestAndConnectionAttemptFailed() {
+        detector.recordContact("a", 0);
+        detector.recordRequestTimeout("a", 1_000 * MICROS_PER_MILLI);
+        assertThat(detector.isSuspect("a", 1_999 * MICROS_PER_MILLI)).isFalse();
+        assertThat(detector.isSuspect("a", 2_000 * MICROS_PER_MILLI)).isTrue();
+        assertThat(detector.isUnresponsive("a", 60_000 * MICROS_PER_MILLI)).isFalse();
+        detector.recordConnectFailure("a", 2_250 * MICROS_PER_MILLI);
+        assertThat(detector.isUnresponsive("a", 7_499 * MICROS_PER_MILLI)).isFalse();
+        assertThat(detector.isUnresponsive("a", 7_500 * MICROS_PER_MILLI)).isTrue();
+        detector.recordContact("a", 7_600 * MICROS_PER_MILLI);
+        assertThat(detector.isSuspect("a", 60_000 * MICROS_PER_MILLI)).isFalse();
+        assertThat(detector.isUnresponsive("a", 60_000 * MICROS_PER_MILLI)).isFalse();
+    }
+
     /** Guards against a missed end of a task for which no new connection is opened. */
     @Test
     void missedMessageRequiresConnectionOpenedAfterIt() {
