--- a/decisions/src/main/java/thornferry/decisions/machines/package-info.java
+++ b/decisions/src/main/java/thornferry/decisions/machines/package-info.java
@@ -5,7 +5,9 @@
  * machine can be reached, has failed, or has to be connected to again.
  *
  * <p>{@link thornferry.decisions.machines.ProcessVerification} is the only place that decides which
- * process a connection leads to, when another one has started at its address.
+ * process a connection leads to, when another one has started at its address. {@link
+ * thornferry.decisions.machines.ClosedConnections} decides the same of closed ones while the
+ * endpoint list service is silent.
  *
  * <p>{@link thornferry.decisions.machines.PendingStops} is the only place that knows which task a
  * machine still has to stop. {@link thornferry.decisions.machines.IdleConnectionEviction} decides
