platform: a connection on which an expected acknowledgement is missing counts as lost

Cause: an open connection was taken for one on which its client hears what is sent (PendingReleases.add, as ReleaseDelivery.release before it). Change: where an acknowledgement came before on the connection, or from its address, one that is missing for 0.5 s makes the connection count as lost, until one comes on it. Clients that never acknowledge are told apart after the first release that expires.

--- a/decisions/src/main/java/thornferry/decisions/clients/PendingReleases.java
+++ b/decisions/src/main/java/thornferry/decisions/clients/PendingReleases.java
@@ -25,6 +25,11 @@
  * may be the client's: the release is sent on all of them, and on those that are opened later,
  * until it is acknowledged or expires. Other clients are expected to ignore it.
  *
+ * <p>A connection may also be open although nothing arrives on it any more. Clients need not
+ * acknowledge releases, so that a missing acknowledgement shows this only where it was to be
+ * expected: on a connection on which one came before, or, once, on another one at such a client's
+ * address. The connection then counts as lost until an acknowledgement comes on it.
+ *
  * <p>While tasks of a lost connection run, or their releases are pending, its client waits on
  * another connection, possibly without sending anything. For each lost connection, the next
  * connection that was opened after it and the last one before it must not be closed as idle. A peer
@@ -34,6 +39,26 @@
  * class performs no I/O and reads no clock; all times are microseconds.
  */
 public final class PendingReleases {
+    /**
+     * How long the acknowledgement of a release may take. The release has to reach its client
+     * within 1 s on another connection.
+     */
+    private static final long ACKNOWLEDGEMENT_TIMEOUT_MICROS = 500_000;
+
+    /** What is known of an open connection from the acknowledgements on it. */
+    private enum Liveness {
+        /** No acknowledgement has come or was missed. */
+        UNKNOWN,
+        /** An acknowledgement has come. */
+        ACKNOWLEDGES,
+        /** Acknowledgements came, and one is missing: the connection counts as lost. */
+        SILENT,
+        /** The first acknowledgement is missing: the connection counts as lost for now. */
+        DOUBTFUL,
+        /** The client acknowledges nothing, so that nothing follows from a missing one. */
+        NEVER_ACKNOWLEDGES
+    }
+
     /** What a client is told of its task. */
     public enum Kind {
         /** The task has ended. */
@@ -62,7 +87,7 @@
      */
     public record Limits(int maxSent, int maxUnconfirmed) {}
 
-    private record Pending(Release release, long expiresAtMicros) {}
+    private record Pending(Release release, long addedAtMicros) {}
 
     /** The connections and releases of the clients at one address. */
     private static final class ClientAddress {
@@ -72,6 +97,9 @@
         /** The releases whose task's connection has closed, by task id, the oldest first. */
         private final Map<String, Release> unconfirmed = new LinkedHashMap<>();
 
+        /** Whether an acknowledgement has come from this address. */
+        private boolean acknowledges;
+
         private boolean isEmpty() {
             return openConnections.isEmpty() && lostConnections.isEmpty() && unconfirmed.isEmpty();
         }
@@ -82,6 +110,7 @@
     private final long lifetimeMicros;
     private final Map<String, ClientAddress> addresses = new HashMap<>();
     private final Map<Long, String> addressByConnection = new HashMap<>(); // open connections
+    private final Map<Long, Liveness> livenessByConnection = new HashMap<>(); // open connections
     private final Set<String> addressesWithLostConnections = new LinkedHashSet<>();
 
     /** The releases sent on the connection of their task, by task id, the oldest first. */
@@ -112,6 +141,7 @@
         ClientAddress client = address(address);
         client.openConnections.add(connection);
         addressByConnection.put(connection, address);
+        livenessByConnection.put(connection, Liveness.UNKNOWN);
         return List.copyOf(client.unconfirmed.values());
     }
 
@@ -127,6 +157,16 @@
         }
         ClientAddress client = address(address);
         client.openConnections.remove(connection);
+        livenessByConnection.remove(connection);
+        List<Release> undelivered = moveSentToUnconfirmed(connection, client);
+        if (!undelivered.isEmpty() || runningTasks.applyAsInt(connection) > 0) {
+            addLost(client, address, connection);
+        }
+        removeIfEmpty(address);
+        return deliverToAll(client, undelivered);
+    }
+
+    private List<Release> moveSentToUnconfirmed(long connection, ClientAddress client) {
         List<Release> undelivered = new ArrayList<>();
         for (String taskId : sentIdsByConnection.getOrDefault(connection, Set.of())) {
             Pending pending = sent.remove(taskId);
@@ -134,11 +174,53 @@
             addUnconfirmed(client, pending);
         }
         sentIdsByConnection.remove(connection);
-        if (!undelivered.isEmpty() || runningTasks.applyAsInt(connection) > 0) {
-            addLost(client, address, connection);
+        return undelivered;
+    }
+
+    /**
+     * Looks for open connections on which an expected acknowledgement is missing. To be called
+     * several times a second.
+     *
+     * @return what is to be sent on other connections
+     */
+    public List<Delivery> checkAcknowledgements(long nowMicros) {
+        Set<Long> silent = new LinkedHashSet<>();
+        for (Pending pending : sent.values()) {
+            if (nowMicros - pending.addedAtMicros() < ACKNOWLEDGEMENT_TIMEOUT_MICROS) {
+                break;
+            }
+            if (isAcknowledgementExpected(pending.release())) {
+                silent.add(pending.release().placedOn());
+            }
         }
-        removeIfEmpty(address);
-        return deliverToAll(client, undelivered);
+        List<Delivery> deliveries = new ArrayList<>();
+        silent.forEach(connection -> deliveries.addAll(markSilent(connection)));
+        return deliveries;
+    }
+
+    private boolean isAcknowledgementExpected(Release release) {
+        return switch (livenessByConnection.get(release.placedOn())) {
+            case ACKNOWLEDGES -> true;
+            case UNKNOWN -> address(release.address()).acknowledges;
+            case SILENT, DOUBTFUL, NEVER_ACKNOWLEDGES -> false;
+        };
+    }
+
+    private List<Delivery> markSilent(long connection) {
+        String address = addressByConnection.get(connection);
+        ClientAddress client = address(address);
+        boolean hasAcknowledged = livenessByConnection.get(connection) == Liveness.ACKNOWLEDGES;
+        livenessByConnection.put(connection, hasAcknowledged ? Liveness.SILENT : Liveness.DOUBTFUL);
+        addLost(client, address, connection);
+        return deliverToAll(client, moveSentToUnconfirmed(connection, client)).stream()
+                .filter(delivery -> delivery.connection() != connection)
+                .toList();
+    }
+
+    /** Returns whether releases arrive on a connection, as far as is known. */
+    private boolean isUsable(long connection) {
+        Liveness liveness = livenessByConnection.get(connection);
+        return liveness != null && liveness != Liveness.SILENT && liveness != Liveness.DOUBTFUL;
     }
 
     /** Records a running task that was handed over on a connection which has closed by now. */
@@ -206,8 +288,8 @@
     /** Adds a release, and returns on which connections it is to be sent. */
     public List<Delivery> add(Release release, long nowMicros) {
         remove(release.taskId());
-        Pending pending = new Pending(release, nowMicros + lifetimeMicros);
-        if (addressByConnection.containsKey(release.placedOn())) {
+        Pending pending = new Pending(release, nowMicros);
+        if (isUsable(release.placedOn())) {
             addSent(pending);
             return List.of(new Delivery(release.placedOn(), List.of(release)));
         }
@@ -255,11 +337,23 @@
      * connections that are opened later.
      */
     public void acknowledged(String taskId, long connection) {
-        if (!unconfirmed.containsKey(taskId) || runningTasks.applyAsInt(connection) == 0) {
+        Pending pending = sent.getOrDefault(taskId, unconfirmed.get(taskId));
+        if (pending == null) {
+            return;
+        }
+        if (pending.release().placedOn() == connection && isOpen(connection)) {
+            livenessByConnection.put(connection, Liveness.ACKNOWLEDGES);
+            address(pending.release().address()).acknowledges = true;
+            remove(taskId);
+        } else if (!unconfirmed.containsKey(taskId) || runningTasks.applyAsInt(connection) == 0) {
             remove(taskId);
         }
     }
 
+    private boolean isOpen(long connection) {
+        return addressByConnection.containsKey(connection);
+    }
+
     /**
      * Drops the release of a client's previous task with the id of a new call. The client would
      * mistake it for the answer to the call.
@@ -278,13 +372,17 @@
     public List<Release> removeExpired(long nowMicros) {
         expired(sent.values(), nowMicros).forEach(release -> remove(release.taskId()));
         List<Release> unsent = expired(unconfirmed.values(), nowMicros);
-        unsent.forEach(release -> remove(release.taskId()));
+        for (Release release : unsent) {
+            remove(release.taskId());
+            livenessByConnection.replace(
+                    release.placedOn(), Liveness.DOUBTFUL, Liveness.NEVER_ACKNOWLEDGES);
+        }
         return unsent;
     }
 
-    private static List<Release> expired(Collection<Pending> pending, long nowMicros) {
+    private List<Release> expired(Collection<Pending> pending, long nowMicros) {
         return pending.stream()
-                .filter(candidate -> candidate.expiresAtMicros() <= nowMicros)
+                .filter(candidate -> nowMicros - candidate.addedAtMicros() >= lifetimeMicros)
                 .map(Pending::release)
                 .toList();
     }
--- a/decisions/src/test/java/thornferry/decisions/clients/PendingReleasesTest.java
+++ b/decisions/src/test/java/thornferry/decisions/clients/PendingReleasesTest.java
@@ -86,6 +86,36 @@
         assertThat(releases.connectionOpened(5, ADDRESS)).isEmpty();
     }
 
+    @Test
+    void sendsOnAllConnectionsIfExpectedAcknowledgementIsMissing() {
+        open(1, 2);
+        releases.add(release("t", 1), 0);
+        releases.acknowledged("t", 1);
+        releases.add(release("u", 1), 0);
+        assertThat(releases.checkAcknowledgements(499_999)).isEmpty();
+        assertThat(releases.checkAcknowledgements(500_000))
+                .containsExactly(new Delivery(2, List.of(release("u", 1))));
+        List<Release> next = List.of(release("v", 1));
+        assertThat(releases.add(next.get(0), 600_000))
+                .containsExactlyInAnyOrder(new Delivery(1, next), new Delivery(2, next));
+        releases.acknowledged("v", 1); // the connection is not silent any more
+        List<Release> last = List.of(release("w", 1));
+        assertThat(releases.add(last.get(0), 700_000)).containsExactly(new Delivery(1, last));
+    }
+
+    @Test
+    void expectsNoAcknowledgementFromClientThatNeverAcknowledges() {
+        open(1, 2, 3);
+        releases.add(release("t", 1), 0);
+        assertThat(releases.checkAcknowledgements(LIFETIME_MICROS - 1)).isEmpty();
+        releases.add(release("u", 3), 0);
+        releases.acknowledged("u", 3); // another client at the address does
+        assertThat(releases.checkAcknowledgements(500_000)).hasSize(2);
+        releases.removeExpired(LIFETIME_MICROS);
+        releases.add(release("v", 1), LIFETIME_MICROS);
+        assertThat(releases.checkAcknowledgements(2 * LIFETIME_MICROS - 1)).isEmpty();
+    }
+
     @Test
     void dropsReleaseOfTaskWhoseIdIsUsedAgain() {
         open(1);
