--- a/decisions/src/main/java/thornferry/decisions/clients/PendingReleases.java
+++ b/decisions/src/main/java/thornferry/decisions/clients/PendingReleases.java
@@ -399,6 +399,11 @@
         return sent.size() + unconfirmed.size();
     }
 
+    /** Returns the number of addresses with connections or retained releases. */
+    int addressCount() {
+        return addresses.size();
+    }
+
     private void remove(String taskId) {
         Pending removed = sent.remove(taskId);
         if (removed != null) {
