--- a/decisions/src/main/java/thornferry/decisions/clients/PendingReleases.java
+++ b/decisions/src/main/java/thornferry/decisions/clients/PendingReleases.java
@@ -394,6 +394,12 @@
         return dropped;
     }
 
+    /** Returns whether a release is still to reach its client. */
+    public boolean isRetained(Release release) {
+        Pending pending = sent.getOrDefault(release.taskId(), unconfirmed.get(release.taskId()));
+        return pending != null && pending.release().equals(release);
+    }
+
     /** Returns the number of retained releases. */
     public int size() {
         return sent.size() + unconfirmed.size();
