--- a/decisions/src/main/java/thornferry/decisions/clients/PendingReleases.java
+++ b/decisions/src/main/java/thornferry/decisions/clients/PendingReleases.java
@@ -33,7 +33,7 @@
  * <p>While tasks of a lost connection run, or their releases are pending, its client waits on
  * another connection, possibly without sending anything. For each lost connection, the next
  * connection that was opened after it and the last one before it must not be closed as idle. A peer
- * at the same address can thus keep no more connections open than were lost there.
+ * at the same address can thus keep no more than two connections open for each that was lost there.
  *
  * <p>Connections are identified by positive numbers in the order in which they were opened. This
  * class performs no I/O and reads no clock; all times are microseconds.
